--- a/libs/journal/src/cassiahold/journal/framing.py
+++ b/libs/journal/src/cassiahold/journal/framing.py
@@ -1,4 +1,9 @@
-"""Framing of records: length, checksum, payload."""
+"""Framing of records: length, checksum, payload.
+
+Records that one sync covers share a frame, so that an interrupted write
+damages all of them or none, and whatever stands behind a frame was written
+after the frame was synced.
+"""
 
 import struct
 import typing
@@ -9,6 +14,8 @@
 MAGIC: typing.Final = b'CSHJ\x00\x01'  # the last two bytes are the version
 HEADER: typing.Final = struct.Struct('<II')  # payload length, CRC-32
 MAX_RECORD_BYTES: typing.Final = 67_108_864  # 64 MiB
+_BATCH_FLAG: typing.Final = 0x8000_0000  # in the length of a shared frame
+_LENGTH: typing.Final = struct.Struct('<I')
 
 
 class Scan(msgspec.Struct):
@@ -30,6 +37,16 @@
     return HEADER.pack(len(payload), zlib.crc32(payload)) + payload
 
 
+def frame_batch(payloads: list[bytes]) -> bytes:
+    """Return one frame for all records that a sync covers."""
+    if len(payloads) == 1:
+        return frame(payloads[0])
+    inner = b''.join(
+        _LENGTH.pack(len(payload)) + payload for payload in payloads
+    )
+    return HEADER.pack(len(inner) | _BATCH_FLAG, zlib.crc32(inner)) + inner
+
+
 def scan(content: bytes) -> Scan:
     """Read records up to the first damage and classify the damage."""
     if len(content) < len(MAGIC):
@@ -37,30 +54,50 @@
     records: list[bytes] = []
     offset = len(MAGIC)
     while offset < len(content):
-        payload = _record_at(content, offset)
-        if payload is None:
-            corrupt = _whole_record_follows(content, offset)
+        found = _frame_at(content, offset)
+        if found is None:
+            corrupt = _whole_frame_follows(content, offset)
             return Scan(records, offset, not corrupt, corrupt)
-        records.append(payload)
-        offset += HEADER.size + len(payload)
+        records.extend(found.records)
+        offset = found.end
     return Scan(records, offset, torn=False, corrupt=False)
 
 
-def _record_at(content: bytes, offset: int) -> bytes | None:
+class _Frame(msgspec.Struct):
+    records: list[bytes]
+    end: int
+
+
+def _frame_at(content: bytes, offset: int) -> _Frame | None:
     start = offset + HEADER.size
     if start > len(content):
         return None
-    length, checksum = HEADER.unpack_from(content, offset)
+    flagged, checksum = HEADER.unpack_from(content, offset)
+    length = flagged & ~_BATCH_FLAG
     payload = content[start : start + length]
     if not length or len(payload) < length or length > MAX_RECORD_BYTES:
         return None
-    return payload if zlib.crc32(payload) == checksum else None
+    if zlib.crc32(payload) != checksum:
+        return None
+    records = _split(payload) if flagged & _BATCH_FLAG else [payload]
+    return _Frame(records, start + length)
+
+
+def _split(inner: bytes) -> list[bytes]:
+    records: list[bytes] = []
+    offset = 0
+    while offset < len(inner):
+        length = _LENGTH.unpack_from(inner, offset)[0]
+        offset += _LENGTH.size
+        records.append(inner[offset : offset + length])
+        offset += length
+    return records
 
 
-def _whole_record_follows(content: bytes, offset: int) -> bool:
-    # An interrupted append leaves nothing valid behind it, so a later
-    # record with a matching checksum shows damage to synced data.
+def _whole_frame_follows(content: bytes, offset: int) -> bool:
+    # An interrupted write leaves nothing valid behind it, so a later frame
+    # with a matching checksum shows damage to synced data.
     return any(
-        _record_at(content, candidate) is not None
+        _frame_at(content, candidate) is not None
         for candidate in range(offset + 1, len(content) - HEADER.size)
     )
--- a/libs/journal/src/cassiahold/journal/journal.py
+++ b/libs/journal/src/cassiahold/journal/journal.py
@@ -1,6 +1,7 @@
 """Segmented log with group sync, snapshots and truncation.
 
-Records carry consecutive numbers.  Nothing counts until ``sync`` returns.
+Records carry consecutive numbers.  Nothing counts until ``sync`` returns;
+all records that a sync covers are written at once by it.
 After a failed sync the kernel may have dropped the dirty pages, so the
 journal refuses all further use instead of trying again.
 """
@@ -11,7 +12,7 @@
 
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.journal.files import Disk, OsDisk
-from cassiahold.journal.framing import MAGIC, frame, scan
+from cassiahold.journal.framing import MAGIC, frame, frame_batch, scan
 
 SEGMENT_BYTES: typing.Final = 16_777_216  # 16 MiB
 _SEGMENT_SUFFIX: typing.Final = '.log'
@@ -33,6 +34,7 @@
         self._segment = folder / f'{1:020}{_SEGMENT_SUFFIX}'
         self._segment_size = 0
         self._next = 1
+        self._pending: list[bytes] = []
         with self._storage('open', folder):
             self._disk = OsDisk(folder) if disk is None else disk
 
@@ -67,23 +69,26 @@
     def append(self, payload: bytes) -> int:
         """Add a record and return its number; ``sync`` makes it count."""
         self._refuse_if_failed()
-        if self._segment_size >= self._segment_bytes:
-            self._roll()
-        framed = frame(payload)
-        if not self._segment_size:
-            framed = MAGIC + framed
-        with self._storage('append to', self._segment):
-            self._disk.append(self._segment, framed)
-        self._segment_size += len(framed)
+        self._pending.append(payload)
         self._next += 1
         return self._next - 1
 
     def sync(self) -> None:
         """Return once every appended record is on the disk."""
         self._refuse_if_failed()
-        if self._segment_size:
-            with self._storage('sync', self._segment):
-                self._disk.sync(self._segment)
+        if not self._pending:
+            return
+        if self._segment_size >= self._segment_bytes:
+            self._roll(self._next - len(self._pending))
+        framed = frame_batch(self._pending)
+        if not self._segment_size:
+            framed = MAGIC + framed
+        with self._storage('append to', self._segment):
+            self._disk.append(self._segment, framed)
+        with self._storage('sync', self._segment):
+            self._disk.sync(self._segment)
+        self._segment_size += len(framed)
+        self._pending = []
 
     def save_snapshot(self, payload: bytes) -> None:
         """Put a snapshot in place and drop every record before it."""
@@ -92,7 +97,7 @@
         path = self._folder / f'{self._next:020}{_SNAPSHOT_SUFFIX}'
         with self._storage('write', path):
             self._disk.replace(path, MAGIC + frame(payload))
-        self._roll()
+        self._roll(self._next)
         with self._storage('clean up', self._folder):
             for name in self._disk.names(self._folder):
                 if int(name.split('.')[0]) < self._next:
@@ -102,10 +107,8 @@
         """Close the open segment."""
         self._disk.close()
 
-    def _roll(self) -> None:
-        if self._segment_size:
-            self.sync()
-        self._segment = self._folder / f'{self._next:020}{_SEGMENT_SUFFIX}'
+    def _roll(self, first: int) -> None:
+        self._segment = self._folder / f'{first:020}{_SEGMENT_SUFFIX}'
         self._segment_size = 0
 
     def _load_snapshot(self, names: list[str]) -> bytes | None:
