--- a/libs/agreement/src/cassiahold/agreement/node.py
+++ b/libs/agreement/src/cassiahold/agreement/node.py
@@ -28,6 +28,7 @@
     encode,
 )
 from cassiahold.agreement.progress import Progress, Tally
+from cassiahold.agreement.repair import PeerView
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import ReplicaId
 
@@ -133,6 +134,17 @@
         """Tell whether everything from earlier terms is known committed."""
         return self.log.term_at(self.commit) == self.term
 
+    def peer_views(self, now: float) -> dict[ReplicaId, PeerView]:
+        """Return how each other member follows; empty unless leading."""
+        return {
+            peer: PeerView(
+                self.log.last_index - progress.match,
+                now - max(progress.acked_at, self._led_since),
+            )
+            for peer, progress in self._progress_by_id.items()
+            if peer != self.replica and peer in self.membership.everyone
+        }
+
     def propose(self, payloads: list[bytes], now: float) -> int:
         """Append commands and return the index of the last one.
 
--- a/libs/agreement/src/cassiahold/agreement/replica.py
+++ b/libs/agreement/src/cassiahold/agreement/replica.py
@@ -2,7 +2,6 @@
 
 import concurrent.futures
 import functools
-import time
 import typing
 
 import msgspec
@@ -10,12 +9,15 @@
 
 from cassiahold.agreement.messages import Entry, EntryKind, Envelope, Membership
 from cassiahold.agreement.node import Node, Pace, Ready
+from cassiahold.agreement.repair import Repairer
 from cassiahold.agreement.storage import ReplicaStorage
 from cassiahold.core import logs
+from cassiahold.core.clock import steady
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import GroupName, ReplicaId
 
 MAX_MESSAGES_PER_FLUSH: typing.Final = 256
+REPAIR_INTERVAL_S: typing.Final = 0.2
 
 ReplyFuture = concurrent.futures.Future[typing.Any]
 
@@ -79,6 +81,8 @@
     snapshot_records: int
     snapshot_bytes: int
     seed: int
+    # 0 leaves changes of the membership to operators.
+    target_voters: int = 0
 
 
 class Tick(msgspec.Struct, frozen=True):
@@ -99,6 +103,13 @@
     reply: ReplyFuture
 
 
+class Join(msgspec.Struct, frozen=True):
+    """Asks the leader to admit a replica."""
+
+    replica: ReplicaId
+    reply: ReplyFuture
+
+
 class Inspect(msgspec.Struct, frozen=True):
     """Asks for this replica's own view."""
 
@@ -157,6 +168,8 @@
         self._deferred: list[tuple[Deferred, ReplyFuture]] = []
         self._unflushed = 0
         self._leading = False
+        self._repairer = Repairer(setup.replica, setup.target_voters)
+        self._repaired_at = 0.0
         recovered = storage.recover(setup.first_membership)
         if recovered.log.snapshot.state:
             service.restore(recovered.log.snapshot.state)
@@ -165,7 +178,7 @@
             recovered.log,
             recovered.hard_state,
             setup.pace,
-            time.monotonic(),
+            steady(),
             setup.seed,
         )
 
@@ -199,15 +212,15 @@
 
     def tick(self) -> None:
         """Let time pass for the protocol."""
-        self._node.tick(time.monotonic())
+        self._node.tick(steady())
 
     def deliver(self, envelope: Envelope) -> None:
         """Take a message from a peer."""
-        self._node.step(envelope.message, time.monotonic())
+        self._node.step(envelope.message, steady())
 
     def call(self, call: Call) -> None:
         """Answer a request, or queue its proposal."""
-        now = time.monotonic()
+        now = steady()
         if not self._may_serve(now):
             call.reply.set_exception(NotLeaderError(self._node.leader))
             return
@@ -225,9 +238,7 @@
     def change_membership(self, change: ChangeMembership) -> None:
         """Propose a membership change."""
         try:
-            index = self._node.propose_membership(
-                change.membership, time.monotonic()
-            )
+            index = self._node.propose_membership(change.membership, steady())
         except CassiaholdError as exc:
             change.reply.set_exception(exc)
             return
@@ -235,6 +246,14 @@
             self._node.term, change.reply, lambda _: index
         )
 
+    def join(self, request: Join) -> None:
+        """Remember a replica that wants to be admitted."""
+        if not self._may_serve(steady()):
+            request.reply.set_exception(NotLeaderError(self._node.leader))
+            return
+        self._repairer.ask_to_join(request.replica, steady())
+        request.reply.set_result(None)
+
     def inspect(self, question: Inspect) -> None:
         """Answer with this replica's view."""
         node = self._node
@@ -268,13 +287,43 @@
             self._take_snapshot()
 
     def _work(self) -> None:
-        now = time.monotonic()
+        now = steady()
         if not self._may_serve(now):
             return
+        if self._setup.target_voters and now >= self._repaired_at:
+            self._repaired_at = now + REPAIR_INTERVAL_S
+            self._repair(now)
         commands = self._service.work(now)
         if commands:
             self._node.propose(commands, now)
 
+    def _repair(self, now: float) -> None:
+        node = self._node
+        if node.membership_index > node.commit:
+            return
+        change = self._repairer.next_change(
+            node.membership, node.peer_views(now), now
+        )
+        if change is None:
+            return
+        try:
+            node.propose_membership(change, now)
+        except CassiaholdError as exc:
+            logs.warning(
+                'membership_refused',
+                group=self._setup.group,
+                membership=change,
+                reason=exc.detail,
+            )
+            return
+        logs.info(
+            'membership_proposed',
+            group=self._setup.group,
+            voters=','.join(change.voters),
+            learners=','.join(change.learners),
+            term=node.term,
+        )
+
     def _propose(self) -> None:
         proposals = self._proposals
         replies = self._proposal_replies
@@ -287,7 +336,7 @@
                 reply.set_exception(NotLeaderError(self._node.leader))
             return
         last = self._node.propose(
-            [proposal.payload for proposal in proposals], time.monotonic()
+            [proposal.payload for proposal in proposals], steady()
         )
         first = last - len(proposals) + 1
         for offset, proposal in enumerate(proposals):
@@ -354,12 +403,12 @@
             term=node.term,
         )
         if leading:
-            self._service.lead(node.term, time.monotonic())
+            self._service.lead(node.term, steady())
         else:
             self._service.follow()
 
     def _answer_deferred(self) -> None:
-        now = time.monotonic()
+        now = steady()
         waiting = self._deferred
         self._deferred = []
         for deferred, reply in waiting:
@@ -420,6 +469,11 @@
     replica.change_membership(message)
 
 
+@_receive.register
+def _(message: Join, replica: Replica) -> None:
+    replica.join(message)
+
+
 @_receive.register
 def _(message: Inspect, replica: Replica) -> None:
     replica.inspect(message)
--- a/libs/core/src/cassiahold/core/exceptions.py
+++ b/libs/core/src/cassiahold/core/exceptions.py
@@ -17,6 +17,8 @@
     UNKNOWN_KEY = 'unknown_key'
     WRONG_TEAM = 'wrong_team'
     NOT_FOUND = 'not_found'
+    JOB_UNKNOWN = 'job_unknown'
+    NOT_CONFIGURED = 'not_configured'
     REQUEST_ID_REUSED = 'request_id_reused'
     VERSION_CONFLICT = 'version_conflict'
     NEVER_FITS = 'never_fits'
@@ -101,6 +103,15 @@
     ErrorKind.NOT_FOUND: _answer(
         404, 'NOT_FOUND', 'The named thing does not exist.'
     ),
+    ErrorKind.JOB_UNKNOWN: _answer(
+        404, 'NOT_FOUND', 'The queue exists, the job does not.'
+    ),
+    ErrorKind.NOT_CONFIGURED: _answer(
+        503,
+        'UNAVAILABLE',
+        'The cell has no configuration yet.',
+        retry=Retry.LATER,
+    ),
     ErrorKind.REQUEST_ID_REUSED: _answer(
         409, 'ALREADY_EXISTS', 'The request id names different work.'
     ),
--- a/libs/core/src/cassiahold/core/logs.py
+++ b/libs/core/src/cassiahold/core/logs.py
@@ -1,9 +1,24 @@
-"""Structured logs: one line of key=value pairs for each event."""
+"""Structured logs: one line of key=value pairs for each event.
+
+After ``set_up`` lines go to standard output from a thread of its own: a
+reader that is slow or gone never blocks the caller.  Lines beyond
+``MAX_LINES_PER_S`` of one event are counted and left out, as are lines that
+find the queue full.
+"""
 
 import json
+import queue
+import sys
+import threading
+import time
+import typing
 
+import msgspec
 from absl import logging
 
+MAX_LINES_PER_S: typing.Final = 50
+MAX_QUEUED_LINES: typing.Final = 4096
+_FLUSH_S: typing.Final = 1.0
 _NEEDS_QUOTES = frozenset((' ', '=', '"', '\\', '\n', '\t'))
 
 
@@ -14,19 +29,98 @@
     return ' '.join(pairs)
 
 
+class _Count(msgspec.Struct):
+    second: int = 0
+    lines: int = 0
+    left_out: int = 0
+
+
+class LineWriter:
+    """Writes lines to a stream from a thread of its own, within limits."""
+
+    def __init__(self, stream: typing.TextIO) -> None:
+        self._stream = stream
+        self._lines: queue.Queue[str] = queue.Queue(MAX_QUEUED_LINES)
+        self._count_by_event: dict[str, _Count] = {}
+        self._dropped = 0
+        threading.Thread(target=self._run, name='logs', daemon=True).start()
+
+    def write(self, level: str, event: str, fields: dict[str, object]) -> None:
+        """Queue a line unless its event has had its share of this second."""
+        now = time.time()
+        count = self._count_by_event.setdefault(event, _Count())
+        if count.second != int(now):
+            if count.left_out:
+                fields = {**fields, 'left_out': count.left_out}
+            count.second, count.lines, count.left_out = int(now), 0, 0
+        count.lines += 1
+        if count.lines > MAX_LINES_PER_S:
+            count.left_out += 1
+            return
+        line = f'time={now:.3f} level={level} {format_event(event, **fields)}'
+        try:
+            self._lines.put_nowait(line)
+        except queue.Full:
+            self._dropped += 1
+
+    def flush(self, timeout_s: float = _FLUSH_S) -> None:
+        """Wait a moment for the queued lines."""
+        deadline = time.monotonic() + timeout_s
+        while not self._lines.empty() and time.monotonic() < deadline:
+            time.sleep(0.01)
+
+    def _run(self) -> None:
+        while True:
+            lines = [self._lines.get()]
+            while not self._lines.empty():
+                lines.append(self._lines.get_nowait())
+            if self._dropped:
+                lines.append(format_event('lines_dropped', count=self._dropped))
+                self._dropped = 0
+            try:
+                self._stream.write('\n'.join(lines) + '\n')
+                self._stream.flush()
+            except (OSError, ValueError):
+                # Nobody reads; the events stay counted in the metrics.
+                self._dropped += len(lines)
+
+
+_writers: list[LineWriter] = []
+
+
+def set_up() -> None:
+    """Send every later line to standard output."""
+    _writers.append(LineWriter(sys.stdout))
+
+
+def flush() -> None:
+    """Wait a moment for lines that are not written yet."""
+    for writer in _writers:
+        writer.flush()
+
+
 def info(event: str, **fields: object) -> None:
     """Log an event of ordinary operation."""
-    logging.info('%s', format_event(event, **fields))
+    _log(logging.INFO, 'info', event, fields)
 
 
 def warning(event: str, **fields: object) -> None:
     """Log an event that an operator may have to act on."""
-    logging.warning('%s', format_event(event, **fields))
+    _log(logging.WARNING, 'warning', event, fields)
 
 
 def error(event: str, **fields: object) -> None:
     """Log an event that an operator has to act on."""
-    logging.error('%s', format_event(event, **fields))
+    _log(logging.ERROR, 'error', event, fields)
+
+
+def _log(
+    number: int, level: str, event: str, fields: dict[str, object]
+) -> None:
+    for writer in _writers:
+        writer.write(level, event, fields)
+    if not _writers:
+        logging.log(number, '%s', format_event(event, **fields))
 
 
 def _quoted(field: object) -> str:
--- a/libs/wire/src/cassiahold/wire/transport.py
+++ b/libs/wire/src/cassiahold/wire/transport.py
@@ -20,7 +20,8 @@
 MAX_MESSAGE_BYTES: typing.Final = 268_435_456  # 256 MiB
 MAX_QUEUED_ENVELOPES: typing.Final = 4096
 MAX_ENVELOPES_PER_CALL: typing.Final = 256
-_DELIVER_TIMEOUT_S: typing.Final = 5.0
+# Shorter than an election, so that a silent connection is replaced in time.
+_DELIVER_TIMEOUT_S: typing.Final = 0.8
 _NEVER_CONNECTED: typing.Final = 'failed to connect to all addresses'
 _SERVICE: typing.Final = 'cassiahold.Node'
 _CALL: typing.Final = f'/{_SERVICE}/Call'
@@ -33,23 +34,50 @@
     ('grpc.initial_reconnect_backoff_ms', 100),
     ('grpc.min_reconnect_backoff_ms', 100),
     ('grpc.max_reconnect_backoff_ms', 500),
+    # A connection may go silent without a reset; pings show it.
+    ('grpc.keepalive_time_ms', 2000),
+    ('grpc.keepalive_timeout_ms', 1000),
+    ('grpc.http2.max_pings_without_data', 0),
+    ('grpc.http2.min_ping_interval_without_data_ms', 1000),
+    ('grpc.http2.min_recv_ping_interval_without_data_ms', 500),
+    ('grpc.http2.max_ping_strikes', 0),
+    # A replaced connection must not be shared again.
+    ('grpc.use_local_subchannel_pool', 1),
 )
 
 
-class CallEnvelope(msgspec.Struct, frozen=True):
+_RequestT = typing.TypeVar('_RequestT')
+
+
+class CallEnvelope(msgspec.Struct, typing.Generic[_RequestT], frozen=True):
     """A request, the group it is for and its trace."""
 
     group: GroupName
-    request: Request
+    request: _RequestT
     traceparent: str = ''
 
 
-Handler = typing.Callable[[GroupName, Request], Reply]
+class Codec(msgspec.Struct, frozen=True):
+    """Reads the calls and the replies that a set of programs exchange."""
+
+    decode_call: typing.Callable[[bytes], typing.Any]
+    decode_reply: typing.Callable[[bytes], typing.Any]
+
+
+def make_codec(requests: typing.Any, replies: typing.Any) -> Codec:
+    """Return the codec for a union of requests and one of replies."""
+    envelope: typing.Any = CallEnvelope
+    return Codec(
+        msgspec.msgpack.Decoder(envelope[requests]).decode,
+        msgspec.msgpack.Decoder(replies).decode,
+    )
+
+
+Handler = typing.Callable[[GroupName, typing.Any], typing.Any]
 Receiver = typing.Callable[[Envelope], None]
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode_call = msgspec.msgpack.Decoder(CallEnvelope).decode
-_decode_reply = msgspec.msgpack.Decoder(Reply).decode
+_DEFAULT_CODEC: typing.Final = make_codec(Request, Reply)
 _decode_batch = msgspec.msgpack.Decoder(EnvelopeBatch).decode
 
 
@@ -65,8 +93,10 @@
         handler: Handler,
         receiver: Receiver,
         metrics: Metrics | None = None,
+        codec: Codec = _DEFAULT_CODEC,
     ) -> None:
         self._program = program
+        self._codec = codec
         self._metrics = metrics or SilentMetrics()
         self._handler = handler
         self._receiver = receiver
@@ -100,7 +130,7 @@
 
     def _call(self, payload: bytes, _: typing.Any) -> bytes:
         try:
-            call = _decode_call(payload)
+            call = self._codec.decode_call(payload)
         except msgspec.DecodeError as exc:
             return _encode(Refusal(ErrorKind.BAD_REQUEST, str(exc)))
         name = type(call.request).__name__
@@ -119,8 +149,14 @@
 class Channel:
     """A connection to one process, reopened when certificates change."""
 
-    def __init__(self, address: str, security: Security) -> None:
+    def __init__(
+        self,
+        address: str,
+        security: Security,
+        codec: Codec = _DEFAULT_CODEC,
+    ) -> None:
         self.address = address
+        self._codec = codec
         self._security = security
         self._lock = threading.Lock()
         self._stamp = -1.0
@@ -129,10 +165,10 @@
     def call(
         self,
         group: GroupName,
-        request: Request,
+        request: typing.Any,
         timeout_s: float,
         traceparent: str = '',
-    ) -> Reply:
+    ) -> typing.Any:
         """Send one request and return its reply.
 
         Raises ``CUT_OFF`` when the request surely did not arrive and
@@ -144,7 +180,7 @@
             raw = stub(payload, timeout=timeout_s)
         except grpc.RpcError as exc:
             raise self._failure(exc) from exc
-        return _decode_reply(raw)
+        return self._codec.decode_reply(raw)
 
     def deliver(self, envelopes: list[Envelope]) -> None:
         """Send agreement messages; raises ``CUT_OFF`` when lost."""
@@ -174,6 +210,9 @@
 
     def _failure(self, exc: typing.Any) -> CassiaholdError:
         code = exc.code()
+        if code is grpc.StatusCode.DEADLINE_EXCEEDED:
+            # The connection may be silent for good; the next call opens one.
+            self.close()
         detail = f'{self.address}: {code.name}: {exc.details()}'
         # A failed connection never carried the request; a lost one may have.
         refused = _NEVER_CONNECTED in (exc.details() or '')
--- /dev/null
+++ b/libs/workflows/src/cassiahold/workflows/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of steps: replicated state, leases on workers, placement, advice."""
--- /dev/null
+++ b/libs/workflows/src/cassiahold/workflows/commands.py
@@ -0,0 +1,138 @@
+"""Commands of the cell's replicated log and what applying them changed."""
+
+import typing
+
+import msgspec
+
+from cassiahold.core.ids import JobId, QueueName, TeamName, WorkerId
+from cassiahold.workflows.configuration import CellConfiguration
+from cassiahold.workflows.model import (
+    RunEnd,
+    RunKey,
+    StepKey,
+    WorkerInfo,
+    WorkSpec,
+)
+
+
+class AcceptJob(msgspec.Struct, frozen=True, tag='accept'):
+    """Stores a job once for its id."""
+
+    id: JobId
+    queue: QueueName
+    team: TeamName
+    spec: WorkSpec
+    at: float
+
+
+class CancelJob(msgspec.Struct, frozen=True, tag='cancel'):
+    """Cancels a job."""
+
+    id: JobId
+    at: float
+
+
+class Start(msgspec.Struct, frozen=True, array_like=True):
+    """Reserves room for a run before its order is sent."""
+
+    run: RunKey
+    worker: WorkerId
+    born: int
+
+
+class StartRuns(msgspec.Struct, frozen=True, tag='start'):
+    """Starts groups of runs; each group starts whole or not at all."""
+
+    term: int
+    groups: list[list[Start]]
+
+
+class End(msgspec.Struct, frozen=True, array_like=True):
+    """The end of a run on one incarnation of a worker."""
+
+    run: RunKey
+    worker: WorkerId
+    how: RunEnd
+    saved: str = ''
+
+
+class EndRuns(msgspec.Struct, frozen=True, tag='end'):
+    """Records ends."""
+
+    ends: list[End]
+    at: float
+
+
+class PutWorker(msgspec.Struct, frozen=True, tag='worker'):
+    """Adds a worker or records what changed about it."""
+
+    info: WorkerInfo
+
+
+class ForgetWorker(msgspec.Struct, frozen=True, tag='forget'):
+    """Removes an incarnation of a worker on which nothing runs any more."""
+
+    id: WorkerId
+    born: int
+    at: float
+
+
+class PutConfiguration(msgspec.Struct, frozen=True, tag='configure'):
+    """Adopts a configuration when its version is higher.
+
+    ``source`` is the operator's document as it was sent.
+    """
+
+    configuration: CellConfiguration
+    source: bytes
+
+
+class PruneJobs(msgspec.Struct, frozen=True, tag='prune'):
+    """Forgets jobs that finished before a time."""
+
+    finished_before: float
+
+
+Command = (
+    AcceptJob
+    | CancelJob
+    | StartRuns
+    | EndRuns
+    | PutWorker
+    | ForgetWorker
+    | PutConfiguration
+    | PruneJobs
+)
+
+
+class RunStarted(msgspec.Struct, frozen=True):
+    """A run's room is reserved; its order may be sent."""
+
+    start: Start
+    term: int
+
+
+class RunUnwanted(msgspec.Struct, frozen=True):
+    """A run that may be in progress must be stopped."""
+
+    run: RunKey
+    worker: WorkerId
+    why: str
+
+
+class StepSettled(msgspec.Struct, frozen=True):
+    """No task of a step will start any more."""
+
+    step: StepKey
+
+
+class WorkerChanged(msgspec.Struct, frozen=True):
+    """A worker came, changed or was forgotten."""
+
+    worker: WorkerId
+
+
+Effect = RunStarted | RunUnwanted | StepSettled | WorkerChanged
+
+encode_command: typing.Final = msgspec.msgpack.Encoder().encode
+decode_command: typing.Final = msgspec.msgpack.Decoder(Command).decode
--- /dev/null
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -0,0 +1,215 @@
+"""Jobs of steps, their tasks and runs, and the workers that run them."""
+
+import enum
+import typing
+
+import msgspec
+
+from cassiahold.core.ids import JobId, QueueName, TeamName, WorkerId
+from cassiahold.core.resources import NOTHING, Resources
+
+
+class JobState(enum.Enum):
+    """Where a job stands; the last three are final."""
+
+    QUEUED = 'queued'
+    ACTIVE = 'active'
+    COMPLETE = 'complete'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+
+class RunEnd(enum.Enum):
+    """How a run ended.
+
+    ``LOST`` covers runs that never began and runs that ended with their
+    worker; only ``FAILED`` counts as an attempt.
+    """
+
+    DONE = 'done'
+    FAILED = 'failed'
+    STOPPED = 'stopped'
+    LAPSED = 'lapsed'
+    BROKEN = 'broken'
+    ALONE = 'alone'
+    LOST = 'lost'
+
+
+OPEN_STATES: typing.Final = frozenset((JobState.QUEUED, JobState.ACTIVE))
+
+
+class StepKey(typing.NamedTuple):
+    """One step of one occurrence of a job."""
+
+    job: JobId
+    occurrence: int
+    step: int
+
+
+class TaskKey(typing.NamedTuple):
+    """One task of a step."""
+
+    step: StepKey
+    index: int
+
+
+class RunKey(typing.NamedTuple):
+    """One numbered start of a task."""
+
+    task: TaskKey
+    attempt: int
+
+
+class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a caller asks of one step.
+
+    ``after`` names earlier steps by number.  ``most_per_worker`` and
+    ``may_be_away`` are 0 without a limit, ``latency_goal_ms`` is 0 without
+    a goal.  ``expected_s`` is the caller's rough estimate for a task.
+    """
+
+    tasks: int
+    resources: Resources = NOTHING
+    expected_s: float = 0.0
+    after: tuple[int, ...] = ()
+    is_gang: bool = False
+    is_checkpointed: bool = False
+    keeps_rack: bool = False
+    needs_label: str = ''
+    near_rack: str = ''
+    most_per_worker: int = 0
+    may_copy: bool = False
+    is_lasting: bool = False
+    is_filler: bool = False
+    image: str = ''
+    latency_goal_ms: int = 0
+    may_be_away: int = 0
+
+
+class WorkSpec(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A job: a payload for every task, and its steps.
+
+    With ``times`` above 0 the steps run that often; occurrence ``k`` is
+    due at ``first_at + k * interval_s`` (seconds since 1970).
+    """
+
+    payload: str
+    steps: tuple[StepSpec, ...]
+    times: int = 0
+    first_at: float = 0.0
+    interval_s: float = 0.0
+
+    @property
+    def occurrences(self) -> int:
+        """Return how often the steps run."""
+        return max(self.times, 1)
+
+    def due_at(self, occurrence: int) -> float:
+        """Return when an occurrence may start, 0 without a time."""
+        if not self.times:
+            return 0.0
+        return self.first_at + occurrence * self.interval_s
+
+
+class Run(msgspec.Struct, frozen=True, array_like=True):
+    """A run that may be in progress on one incarnation of a worker."""
+
+    attempt: int
+    worker: WorkerId
+    born: int
+
+
+class TaskRecord(msgspec.Struct, array_like=True):
+    """A task: ``attempt`` is the highest number used so far."""
+
+    is_done: bool = False
+    attempt: int = 0
+    failures: int = 0
+    saved: str = ''
+    run: Run | None = None
+
+
+class StepRecord(msgspec.Struct, array_like=True):
+    """A step: ``undone`` counts the tasks that have not ended as done."""
+
+    tasks: list[TaskRecord]
+    undone: int
+    gang_failures: int = 0
+
+
+class JobRecord(msgspec.Struct, array_like=True):
+    """An accepted job."""
+
+    id: JobId
+    queue: QueueName
+    team: TeamName
+    spec: WorkSpec
+    accepted_at: float
+    occurrences: list[list[StepRecord]]
+    state: JobState = JobState.QUEUED
+    finished_at: float = 0.0
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether tasks may still start."""
+        return self.state in OPEN_STATES
+
+    def step(self, key: StepKey) -> StepRecord:
+        """Return the record of a step."""
+        return self.occurrences[key.occurrence][key.step]
+
+    def is_ready(self, key: StepKey) -> bool:
+        """Tell whether every step that this one follows is done."""
+        steps = self.occurrences[key.occurrence]
+        return all(
+            not steps[earlier].undone
+            for earlier in self.spec.steps[key.step].after
+        )
+
+
+class WorkerInfo(msgspec.Struct, frozen=True):
+    """What a worker says of itself; ``born`` tells incarnations apart.
+
+    ``born`` is in milliseconds since 1970.
+    """
+
+    id: WorkerId
+    born: int
+    address: str
+    service: str
+    data_centre: str
+    capacity: Resources
+    labels: tuple[str, ...] = ()
+    rack: str = ''
+    is_draining: bool = False
+
+
+class WorkerRecord(msgspec.Struct):
+    """A known worker and what may be running on it."""
+
+    info: WorkerInfo
+    reserved: Resources = NOTHING
+    runs: dict[RunKey, Resources] = msgspec.field(default_factory=dict)
+
+    @property
+    def free(self) -> Resources:
+        """Return the room that is surely not in use."""
+        return self.info.capacity - self.reserved
+
+
+def new_job(
+    job: JobId,
+    queue: QueueName,
+    team: TeamName,
+    spec: WorkSpec,
+    accepted_at: float,
+) -> JobRecord:
+    """Return the record of a job that nothing has run of."""
+    occurrences = [
+        [
+            StepRecord([TaskRecord() for _ in range(step.tasks)], step.tasks)
+            for step in spec.steps
+        ]
+        for _ in range(spec.occurrences)
+    ]
+    return JobRecord(job, queue, team, spec, accepted_at, occurrences)
--- /dev/null
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -0,0 +1,556 @@
+"""The cell's replicated state: jobs of steps, workers, configuration.
+
+Equal logs give equal states.  A run reserves its room from the command
+that starts it until the command that records its end.
+"""
+
+import functools
+import typing
+
+import msgspec
+
+from cassiahold.core.exceptions import ErrorKind
+from cassiahold.core.ids import JobId, QueueName, TeamName, WorkerId
+from cassiahold.core.resources import NOTHING, Resources
+from cassiahold.workflows import commands
+from cassiahold.workflows.configuration import (
+    CellConfiguration,
+    ConfigurationIndex,
+)
+from cassiahold.workflows.model import (
+    JobRecord,
+    JobState,
+    Run,
+    RunEnd,
+    RunKey,
+    StepKey,
+    StepSpec,
+    TaskKey,
+    TaskRecord,
+    WorkerRecord,
+    new_job,
+)
+
+_UNWANTED_STATES: typing.Final = frozenset(
+    (JobState.FAILED, JobState.CANCELLED)
+)
+
+
+class AcceptOutcome(msgspec.Struct, frozen=True):
+    """Whether a job is stored; ``error`` says why not."""
+
+    is_first: bool
+    error: ErrorKind | None = None
+
+
+class _Kept(msgspec.Struct):
+    configuration: CellConfiguration = CellConfiguration()
+    source: bytes = b''
+    job_by_id: dict[JobId, JobRecord] = msgspec.field(default_factory=dict)
+    worker_by_id: dict[WorkerId, WorkerRecord] = msgspec.field(
+        default_factory=dict
+    )
+
+
+class _Saved(msgspec.Struct, array_like=True):
+    configuration: CellConfiguration
+    source: bytes
+    jobs: list[JobRecord]
+    workers: list[commands.PutWorker]
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(_Saved).decode
+
+
+class WorkState:
+    """Applies commands in log order."""
+
+    def __init__(self) -> None:
+        self._kept = _Kept()
+        self._effects: list[commands.Effect] = []
+        self._reset_derived()
+
+    # Views; only commands may change what they return.
+
+    @property
+    def configuration(self) -> CellConfiguration:
+        """Return the adopted configuration."""
+        return self._kept.configuration
+
+    @property
+    def source(self) -> bytes:
+        """Return the operator's document of the adopted configuration."""
+        return self._kept.source
+
+    @property
+    def job_by_id(self) -> dict[JobId, JobRecord]:
+        """Return the jobs that are remembered."""
+        return self._kept.job_by_id
+
+    @property
+    def worker_by_id(self) -> dict[WorkerId, WorkerRecord]:
+        """Return the workers that are known."""
+        return self._kept.worker_by_id
+
+    def usage_of(self, team: TeamName) -> Resources:
+        """Return what a team may have running."""
+        return self._usage_by_team.get(team, NOTHING)
+
+    def waiting_steps(self) -> list[StepKey]:
+        """Return the ready steps that have a task to start."""
+        return list(self._waiting)
+
+    def untouched_jobs(self, queue: QueueName) -> int:
+        """Return how many accepted jobs of a queue have not begun."""
+        return self._untouched_by_queue.get(queue, 0)
+
+    def run_of(self, key: TaskKey) -> Run | None:
+        """Return the run of a task that may be in progress."""
+        record = self._kept.job_by_id.get(key.step.job)
+        if record is None:
+            return None
+        return record.step(key.step).tasks[key.index].run
+
+    def is_wanted(self, run: RunKey) -> bool:
+        """Tell whether a run that may be in progress should go on."""
+        key = run.task.step
+        record = self._kept.job_by_id.get(key.job)
+        if record is None or record.state in _UNWANTED_STATES:
+            return False
+        current = self.run_of(run.task)
+        if current is None or current.attempt != run.attempt:
+            return False
+        step = record.step(key)
+        if not record.spec.steps[key.step].is_gang or not step.undone:
+            return True
+        # A gang of which a member is missing cannot be done any more.
+        return all(task.run is not None for task in step.tasks)
+
+    def spec_of(self, key: StepKey) -> StepSpec:
+        """Return what a step asks for."""
+        return self._kept.job_by_id[key.job].spec.steps[key.step]
+
+    def drain_effects(self) -> list[commands.Effect]:
+        """Return and forget what has changed since the last call."""
+        drained = self._effects
+        self._effects = []
+        return drained
+
+    # Log.
+
+    def apply(self, payload: bytes) -> typing.Any:
+        """Apply one command of the log."""
+        return _apply(commands.decode_command(payload), self)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        kept = self._kept
+        return _encode(
+            _Saved(
+                kept.configuration,
+                kept.source,
+                list(kept.job_by_id.values()),
+                [
+                    commands.PutWorker(worker.info)
+                    for worker in kept.worker_by_id.values()
+                ],
+            )
+        )
+
+    def restore(self, state: bytes) -> None:
+        """Replace the whole state."""
+        saved = _decode(state)
+        self._kept = _Kept(
+            saved.configuration,
+            saved.source,
+            {record.id: record for record in saved.jobs},
+            {put.info.id: WorkerRecord(put.info) for put in saved.workers},
+        )
+        self._effects = []
+        self._reset_derived()
+
+    # Commands.
+
+    def accept(self, command: commands.AcceptJob) -> AcceptOutcome:
+        """Store a job once for its id."""
+        if command.id in self._kept.job_by_id:
+            return AcceptOutcome(is_first=False)
+        if command.queue not in self.index.queue_by_name:
+            return AcceptOutcome(is_first=False, error=ErrorKind.NOT_FOUND)
+        record = new_job(
+            command.id, command.queue, command.team, command.spec, command.at
+        )
+        self._kept.job_by_id[command.id] = record
+        self._count_untouched(record, 1)
+        self._refresh_steps(record)
+        return AcceptOutcome(is_first=True)
+
+    def cancel(self, command: commands.CancelJob) -> bool:
+        """Cancel a job; False when it is not known."""
+        record = self._kept.job_by_id.get(command.id)
+        if record is None:
+            return False
+        if record.is_open:
+            self._finish(record, JobState.CANCELLED, command.at)
+        return True
+
+    def start(self, command: commands.StartRuns) -> int:
+        """Start each group that is still right; return how many runs."""
+        started = 0
+        for group in command.groups:
+            if self._may_start(group):
+                started += len(group)
+                for start in group:
+                    self._start_one(start, command.term)
+        return started
+
+    def end(self, command: commands.EndRuns) -> None:
+        """Record the ends of runs that still hold their worker."""
+        for ended in command.ends:
+            self._end_one(ended, command.at)
+
+    def put_worker(self, command: commands.PutWorker) -> bool:
+        """Add or update a worker; an older incarnation changes nothing."""
+        info = command.info
+        known = self._kept.worker_by_id.get(info.id)
+        if known is None:
+            self._kept.worker_by_id[info.id] = WorkerRecord(info)
+        elif info.born < known.info.born:
+            return False
+        else:
+            # Runs of an earlier incarnation stay until their end is known.
+            known.info = info
+        self._effects.append(commands.WorkerChanged(info.id))
+        return True
+
+    def forget_worker(self, command: commands.ForgetWorker) -> None:
+        """Remove a worker; whatever it ran has ended with it."""
+        known = self._kept.worker_by_id.get(command.id)
+        if known is None or known.info.born > command.born:
+            return
+        ends = [
+            commands.End(run, command.id, RunEnd.LOST) for run in known.runs
+        ]
+        for ended in ends:
+            self._end_one(ended, command.at)
+        self._kept.worker_by_id.pop(command.id)
+        self._effects.append(commands.WorkerChanged(command.id))
+
+    def put_configuration(self, command: commands.PutConfiguration) -> bool:
+        """Adopt a higher version; others change nothing."""
+        if command.configuration.version <= self._kept.configuration.version:
+            return False
+        self._kept.configuration = command.configuration
+        self._kept.source = command.source
+        self.index = ConfigurationIndex(command.configuration)
+        return True
+
+    def prune(self, command: commands.PruneJobs) -> int:
+        """Forget jobs that finished long ago and hold no worker."""
+        old = [
+            record.id
+            for record in self._kept.job_by_id.values()
+            if not record.is_open
+            and record.finished_at < command.finished_before
+            and record.id not in self._busy_jobs()
+        ]
+        for job in old:
+            self._kept.job_by_id.pop(job)
+        return len(old)
+
+    # Helpers.
+
+    def _busy_jobs(self) -> set[JobId]:
+        return {
+            run.task.step.job
+            for worker in self._kept.worker_by_id.values()
+            for run in worker.runs
+        }
+
+    def _reset_derived(self) -> None:
+        self.index = ConfigurationIndex(self._kept.configuration)
+        self._waiting: dict[StepKey, None] = {}
+        self._usage_by_team: dict[TeamName, Resources] = {}
+        self._untouched_by_queue: dict[QueueName, int] = {}
+        for record in self._kept.job_by_id.values():
+            if record.state is JobState.QUEUED:
+                self._count_untouched(record, 1)
+            self._refresh_steps(record)
+            for key in _steps_of(record):
+                self._reserve_again(record, key)
+
+    def _reserve_again(self, record: JobRecord, key: StepKey) -> None:
+        resources = record.spec.steps[key.step].resources
+        for index, task in enumerate(record.step(key).tasks):
+            if task.run is not None:
+                run = RunKey(TaskKey(key, index), task.run.attempt)
+                self._reserve(record, run, task.run.worker, resources)
+
+    def _reserve(
+        self,
+        record: JobRecord,
+        run: RunKey,
+        worker_id: WorkerId,
+        resources: Resources,
+    ) -> None:
+        worker = self._kept.worker_by_id[worker_id]
+        worker.reserved += resources
+        worker.runs[run] = resources
+        usage = self.usage_of(record.team) + resources
+        self._usage_by_team[record.team] = usage
+
+    def _count_untouched(self, record: JobRecord, change: int) -> None:
+        count = self.untouched_jobs(record.queue) + change
+        self._untouched_by_queue[record.queue] = count
+
+    def _refresh_steps(self, record: JobRecord) -> None:
+        for key in _steps_of(record):
+            self._refresh_step(record, key)
+
+    def _refresh_step(self, record: JobRecord, key: StepKey) -> None:
+        if record.is_open and _has_startable(record, key):
+            self._waiting[key] = None
+            return
+        self._waiting.pop(key, None)
+        if not record.is_open or not record.step(key).undone:
+            self._effects.append(commands.StepSettled(key))
+
+    def _may_start(self, group: list[commands.Start]) -> bool:
+        wanted_by_worker: dict[WorkerId, Resources] = {}
+        for start in group:
+            worker = self._kept.worker_by_id.get(start.worker)
+            record = self._kept.job_by_id.get(start.run.task.step.job)
+            if worker is None or worker.info.born != start.born:
+                return False
+            if record is None or not _is_startable(record, start):
+                return False
+            wanted = wanted_by_worker.get(start.worker, NOTHING)
+            wanted += self.spec_of(start.run.task.step).resources
+            wanted_by_worker[start.worker] = wanted
+            if not wanted.fits_in(worker.free):
+                return False
+        return True
+
+    def _start_one(self, start: commands.Start, term: int) -> None:
+        key = start.run.task.step
+        record = self._kept.job_by_id[key.job]
+        task = record.step(key).tasks[start.run.task.index]
+        task.attempt = start.run.attempt
+        task.run = Run(start.run.attempt, start.worker, start.born)
+        resources = self.spec_of(key).resources
+        self._reserve(record, start.run, start.worker, resources)
+        if record.state is JobState.QUEUED:
+            record.state = JobState.ACTIVE
+            self._count_untouched(record, -1)
+        self._refresh_step(record, key)
+        self._effects.append(commands.RunStarted(start, term))
+
+    def _end_one(self, ended: commands.End, at: float) -> None:
+        key = ended.run.task.step
+        record = self._kept.job_by_id.get(key.job)
+        if record is None:
+            return
+        task = record.step(key).tasks[ended.run.task.index]
+        run = task.run
+        if run is None or run.attempt != ended.run.attempt:
+            return
+        if run.worker != ended.worker:
+            return
+        self._release(record, task, ended.run)
+        if ended.saved:
+            self._keep_checkpoint(record, ended)
+        self._settle(record, ended, at)
+        self._refresh_step(record, key)
+
+    def _keep_checkpoint(self, record: JobRecord, ended: commands.End) -> None:
+        key = ended.run.task.step
+        tasks = record.step(key).tasks
+        if record.spec.steps[key.step].is_gang:
+            # All members resume from the same point.
+            for member in tasks:
+                member.saved = ended.saved
+        else:
+            tasks[ended.run.task.index].saved = ended.saved
+
+    def _release(
+        self, record: JobRecord, task: TaskRecord, run: RunKey
+    ) -> None:
+        if task.run is None:
+            return
+        worker = self._kept.worker_by_id[task.run.worker]
+        resources = worker.runs.pop(run)
+        worker.reserved -= resources
+        usage = self.usage_of(record.team) - resources
+        self._usage_by_team[record.team] = usage
+        task.run = None
+
+    def _settle(
+        self, record: JobRecord, ended: commands.End, at: float
+    ) -> None:
+        if not record.is_open:
+            return
+        key = ended.run.task.step
+        spec = record.spec.steps[key.step]
+        if ended.how is RunEnd.DONE and not spec.is_lasting:
+            self._count_done(record, ended, at)
+            return
+        if spec.is_gang:
+            self._stop_gang(record, ended)
+        if ended.how is RunEnd.FAILED and not spec.is_lasting:
+            self._count_failure(record, ended, at)
+
+    def _count_done(
+        self, record: JobRecord, ended: commands.End, at: float
+    ) -> None:
+        key = ended.run.task.step
+        step = record.step(key)
+        spec = record.spec.steps[key.step]
+        # One member of a gang that is done stands for all of them.
+        tasks = (
+            step.tasks if spec.is_gang else [step.tasks[ended.run.task.index]]
+        )
+        for task in tasks:
+            step.undone -= int(not task.is_done)
+            task.is_done = True
+        if step.undone:
+            return
+        if any(later.undone for steps in record.occurrences for later in steps):
+            self._refresh_steps(record)
+        else:
+            self._finish(record, JobState.COMPLETE, at)
+
+    def _count_failure(
+        self, record: JobRecord, ended: commands.End, at: float
+    ) -> None:
+        key = ended.run.task.step
+        step = record.step(key)
+        task = step.tasks[ended.run.task.index]
+        if task.is_done:
+            return
+        task.failures += 1
+        failures = task.failures
+        if record.spec.steps[key.step].is_gang:
+            step.gang_failures += 1
+            failures = step.gang_failures
+        queue = self.index.queue_by_name.get(record.queue)
+        if queue is not None and failures >= queue.attempts:
+            self._finish(record, JobState.FAILED, at)
+
+    def _stop_gang(self, record: JobRecord, ended: commands.End) -> None:
+        key = ended.run.task.step
+        step = record.step(key)
+        if not step.undone:
+            return
+        for index, task in enumerate(step.tasks):
+            run = task.run
+            if run is not None and run.attempt == ended.run.attempt:
+                self._effects.append(
+                    commands.RunUnwanted(
+                        RunKey(TaskKey(key, index), run.attempt),
+                        run.worker,
+                        'gang_broken',
+                    )
+                )
+
+    def _finish(self, record: JobRecord, state: JobState, at: float) -> None:
+        if record.state is JobState.QUEUED:
+            self._count_untouched(record, -1)
+        record.state = state
+        record.finished_at = at
+        self._refresh_steps(record)
+        if state is JobState.COMPLETE:
+            return
+        for key in _steps_of(record):
+            for index, task in enumerate(record.step(key).tasks):
+                if task.run is not None:
+                    run = RunKey(TaskKey(key, index), task.run.attempt)
+                    self._effects.append(
+                        commands.RunUnwanted(run, task.run.worker, state.value)
+                    )
+
+
+def _steps_of(record: JobRecord) -> list[StepKey]:
+    return [
+        StepKey(record.id, occurrence, step)
+        for occurrence, steps in enumerate(record.occurrences)
+        for step in range(len(steps))
+    ]
+
+
+def startable_tasks(record: JobRecord, key: StepKey) -> list[int]:
+    """Return the numbers of the tasks of a ready step that may start.
+
+    A gang may start only when no earlier run of any member remains.
+    """
+    tasks = record.step(key).tasks
+    if record.spec.steps[key.step].is_gang:
+        if any(task.run is not None or task.is_done for task in tasks):
+            return []
+        return list(range(len(tasks)))
+    return [
+        index
+        for index, task in enumerate(tasks)
+        if task.run is None and not task.is_done
+    ]
+
+
+def _has_startable(record: JobRecord, key: StepKey) -> bool:
+    return record.is_ready(key) and bool(startable_tasks(record, key))
+
+
+def _is_startable(record: JobRecord, start: commands.Start) -> bool:
+    key = start.run.task.step
+    if not record.is_open or not record.is_ready(key):
+        return False
+    task = record.step(key).tasks[start.run.task.index]
+    return (
+        task.run is None
+        and not task.is_done
+        and start.run.attempt > task.attempt
+    )
+
+
+@functools.singledispatch
+def _apply(command: object, state: WorkState) -> typing.Any:
+    raise TypeError(f'unknown command {command!r}')
+
+
+@_apply.register
+def _(command: commands.AcceptJob, state: WorkState) -> AcceptOutcome:
+    return state.accept(command)
+
+
+@_apply.register
+def _(command: commands.CancelJob, state: WorkState) -> bool:
+    return state.cancel(command)
+
+
+@_apply.register
+def _(command: commands.StartRuns, state: WorkState) -> int:
+    return state.start(command)
+
+
+@_apply.register
+def _(command: commands.EndRuns, state: WorkState) -> None:
+    state.end(command)
+
+
+@_apply.register
+def _(command: commands.PutWorker, state: WorkState) -> bool:
+    return state.put_worker(command)
+
+
+@_apply.register
+def _(command: commands.ForgetWorker, state: WorkState) -> None:
+    state.forget_worker(command)
+
+
+@_apply.register
+def _(command: commands.PutConfiguration, state: WorkState) -> bool:
+    return state.put_configuration(command)
+
+
+@_apply.register
+def _(command: commands.PruneJobs, state: WorkState) -> int:
+    return state.prune(command)
--- /dev/null
+++ b/programs/cell/src/cassiahold/cell/__init__.py
@@ -0,0 +1,1 @@
+"""One replicated group that forms itself, runs jobs of steps, calls workers."""
--- /dev/null
+++ b/programs/cell/src/cassiahold/cell/discovery.py
@@ -0,0 +1,56 @@
+"""Where the group's replicas are and which one leads, without I/O."""
+
+import typing
+
+from cassiahold.agreement.repair import address_of
+from cassiahold.cell.requests import GroupView
+from cassiahold.core.ids import ReplicaId
+
+
+class Directory:
+    """Addresses worth trying, the likely leader first.
+
+    Seeds are the only addresses told from outside; members are learned from
+    any replica's view and kept while a newer term does not replace them.
+    """
+
+    def __init__(self, seeds: typing.Iterable[str]) -> None:
+        self._seeds = tuple(seeds)
+        self._members: tuple[str, ...] = ()
+        self._leader: str | None = None
+        self._term = 0
+
+    @property
+    def leader(self) -> str | None:
+        """Return the likely leader's address."""
+        return self._leader
+
+    def set_seeds(self, seeds: typing.Iterable[str]) -> None:
+        """Replace the seeds."""
+        self._seeds = tuple(seeds)
+
+    def learn(self, view: GroupView) -> None:
+        """Take a replica's view unless a later term is known."""
+        if view.term < self._term:
+            return
+        self._term = view.term
+        self._members = tuple(
+            address_of(member) for member in view.membership.everyone
+        )
+        if view.leader is not None:
+            self._leader = address_of(view.leader)
+
+    def hint(self, leader: ReplicaId | None) -> None:
+        """Take what a replica said of the leader."""
+        if leader is not None:
+            self._leader = address_of(leader)
+
+    def doubt(self, address: str) -> None:
+        """Record that an address did not act as leader."""
+        if self._leader == address:
+            self._leader = None
+
+    def candidates(self) -> list[str]:
+        """Return every known address once, the likely leader first."""
+        first = () if self._leader is None else (self._leader,)
+        return list(dict.fromkeys((*first, *self._members, *self._seeds)))
--- /dev/null
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -0,0 +1,278 @@
+"""The cell as its leader runs it: callers, workers, placement, advice."""
+
+import time
+import typing
+
+import msgspec
+
+from cassiahold.agreement.replica import Proposal
+from cassiahold.cell import requests
+from cassiahold.cell.dispatch import dispatch
+from cassiahold.cell.settings import CellSettings
+from cassiahold.cell.workers import Outlet, WorkerBoard
+from cassiahold.core import logs
+from cassiahold.core.clock import steady
+from cassiahold.core.exceptions import CassiaholdError, ErrorKind
+from cassiahold.core.ids import JobId, TeamName
+from cassiahold.core.metrics import Metrics
+from cassiahold.workflows import commands
+from cassiahold.workflows.advising import AdviceBook
+from cassiahold.workflows.configuration import QueuePolicy
+from cassiahold.workflows.model import JobRecord
+from cassiahold.workflows.planning import Planner
+from cassiahold.workflows.state import AcceptOutcome, WorkState
+
+PLAN_INTERVAL_S: typing.Final = 0.05  # at least this often while work waits
+PRUNE_INTERVAL_S: typing.Final = 5.0
+NO_TEAM: typing.Final = TeamName('')
+
+
+class _Leading(msgspec.Struct):
+    """What only the leader keeps, rebuilt by each new one."""
+
+    term: int
+    board: WorkerBoard
+    advice: AdviceBook
+    planned_at: float = 0.0
+    pruned_at: float = 0.0
+    is_changed: bool = True
+
+
+class CellService:
+    """Answers requests and adds commands; every call is the actor's."""
+
+    def __init__(
+        self, settings: CellSettings, outlet: Outlet, metrics: Metrics
+    ) -> None:
+        self.state = WorkState()
+        self._settings = settings
+        self._outlet = outlet
+        self._metrics = metrics
+        self._leading: _Leading | None = None
+
+    # What the replica calls.
+
+    def apply(self, payload: bytes) -> typing.Any:
+        """Apply a committed command."""
+        outcome = self.state.apply(payload)
+        effects = self.state.drain_effects()
+        leading = self._leading
+        if leading is not None:
+            leading.is_changed = True
+            for effect in effects:
+                leading.board.follow(effect, steady())
+        return outcome
+
+    def snapshot(self) -> bytes:
+        """Return the whole replicated state."""
+        return self.state.snapshot()
+
+    def restore(self, state: bytes) -> None:
+        """Replace the whole replicated state."""
+        self.state.restore(state)
+
+    def lead(self, term: int, now: float) -> None:
+        """Call every known worker under a higher fence."""
+        self.state.drain_effects()
+        advice = AdviceBook()
+        board = WorkerBoard(
+            self.state, self._settings, self._outlet, advice, term
+        )
+        self._leading = _Leading(term, board, advice)
+        board.open_all(now)
+
+    def follow(self) -> None:
+        """Drop what only a leader keeps."""
+        if self._leading is not None:
+            self._leading.board.close()
+        self._leading = None
+
+    def work(self, now: float) -> list[bytes]:
+        """Return the commands that are due."""
+        leading = self._led()
+        found: list[commands.Command] = list(leading.board.due(now))
+        if now >= leading.pruned_at + PRUNE_INTERVAL_S:
+            leading.pruned_at = now
+            found.extend(self._prune())
+        due = leading.planned_at + PLAN_INTERVAL_S
+        if leading.is_changed or now >= due:
+            leading.planned_at = now
+            leading.is_changed = False
+            found.extend(self._plan(leading, now))
+        return [commands.encode_command(command) for command in found]
+
+    def handle(self, request: typing.Any, now: float) -> typing.Any:
+        """Answer a request or propose its command."""
+        return dispatch(request, self, now)
+
+    # Periodic work.
+
+    @property
+    def board(self) -> WorkerBoard:
+        """Return the leader's sessions with workers."""
+        return self._led().board
+
+    @property
+    def advice(self) -> AdviceBook:
+        """Return the leader's advice."""
+        return self._led().advice
+
+    def wake(self) -> None:
+        """Plan again soon: something has changed."""
+        self._led().is_changed = True
+
+    def _led(self) -> _Leading:
+        if self._leading is None:
+            raise CassiaholdError(ErrorKind.NO_QUORUM, 'this replica follows')
+        return self._leading
+
+    def _plan(self, leading: _Leading, now: float) -> list[commands.Command]:
+        planner = Planner(
+            self.state,
+            leading.advice,
+            leading.board.usable(now),
+            now,
+            time.time(),
+        )
+        plan = planner.plan()
+        for question in plan.questions:
+            leading.advice.asked(question.step)
+            self._outlet.ask_advisor(question)
+        if not plan.groups:
+            return []
+        return [commands.StartRuns(leading.term, plan.groups)]
+
+    def _prune(self) -> list[commands.Command]:
+        before = time.time() - self._settings.keep_finished_s
+        for record in self.state.job_by_id.values():
+            if not record.is_open and record.finished_at < before:
+                return [commands.PruneJobs(before)]
+        return []
+
+    # Requests of callers.
+
+    def submit(self, request: requests.SubmitWork) -> Proposal:
+        """Accept a job once for its id."""
+        queue = self._queue_at(request.host, request.path)
+        team = self._team_of(queue, request.key)
+        job = _job_in(queue, request.path)
+        command = commands.AcceptJob(
+            job, queue.name, team, request.spec, time.time()
+        )
+        return propose(command, lambda outcome: self._accepted(job, outcome))
+
+    def get(
+        self, request: requests.GetWork
+    ) -> requests.WorkStatus | requests.QueueLength:
+        """Return a job's state or a queue's length."""
+        queue = self._queue_at(request.host, request.path)
+        team = self._team_of(queue, request.key)
+        if request.path == queue.prefix:
+            return requests.QueueLength(self.state.untouched_jobs(queue.name))
+        return requests.WorkStatus(self._job(queue, team, request.path).state)
+
+    def cancel(self, request: requests.CancelWork) -> Proposal:
+        """Cancel a job."""
+        queue = self._queue_at(request.host, request.path)
+        team = self._team_of(queue, request.key)
+        job = self._job(queue, team, request.path).id
+        command = commands.CancelJob(job, time.time())
+        return propose(command, lambda _: self._cancelled(job))
+
+    def put_configuration(
+        self, request: requests.PutCellConfiguration
+    ) -> Proposal | requests.Acknowledged:
+        """Adopt a higher version; a lower one changes nothing."""
+        version = request.configuration.version
+        if version <= self.state.configuration.version:
+            return requests.Acknowledged()
+        command = commands.PutConfiguration(
+            request.configuration, request.source
+        )
+        return propose(command, lambda _: self._configured(version))
+
+    def read_configuration(self) -> requests.ConfigurationSource:
+        """Return the document in force."""
+        if not self.state.source:
+            raise _not_configured()
+        return requests.ConfigurationSource(self.state.source)
+
+    def _accepted(
+        self, job: JobId, outcome: AcceptOutcome
+    ) -> requests.WorkAccepted:
+        if outcome.error is not None:
+            raise CassiaholdError(outcome.error, 'the queue was removed')
+        record = self.state.job_by_id[job]
+        logs.info(
+            'job_accepted',
+            job=job,
+            queue=record.queue,
+            team=record.team,
+            is_first=outcome.is_first,
+            version=self.state.configuration.version,
+        )
+        self._metrics.incr(f'accepted.{record.queue}')
+        return requests.WorkAccepted(outcome.is_first)
+
+    def _cancelled(self, job: JobId) -> requests.Acknowledged:
+        logs.info('job_cancelled', job=job)
+        return requests.Acknowledged()
+
+    def _configured(self, version: int) -> requests.Acknowledged:
+        logs.info(
+            'configuration_stored',
+            version=version,
+            in_force=self.state.configuration.version,
+        )
+        return requests.Acknowledged()
+
+    def _queue_at(self, host: str, path: str) -> QueuePolicy:
+        if not self.state.configuration.version:
+            raise _not_configured()
+        queue = self.state.index.queue_at(host, path)
+        if queue is None:
+            raise CassiaholdError(
+                ErrorKind.NOT_FOUND, f'no queue at {host}{path}'
+            )
+        return queue
+
+    def _team_of(self, queue: QueuePolicy, key: str) -> TeamName:
+        team = self.state.index.team_by_key.get(key)
+        if team is not None:
+            return team.name
+        if queue.is_open:
+            return NO_TEAM
+        raise CassiaholdError(
+            ErrorKind.UNKNOWN_KEY,
+            f'the key is not of version {self.state.configuration.version}',
+        )
+
+    def _job(self, queue: QueuePolicy, team: TeamName, path: str) -> JobRecord:
+        job = _job_in(queue, path)
+        record = self.state.job_by_id.get(job)
+        if record is None or record.queue != queue.name:
+            raise CassiaholdError(
+                ErrorKind.JOB_UNKNOWN, f'job {job!r} does not exist'
+            )
+        if not queue.is_open and team != record.team:
+            raise CassiaholdError(
+                ErrorKind.JOB_UNKNOWN, f'team {team!r} has no job {job!r}'
+            )
+        return record
+
+
+def propose(
+    command: commands.Command, reply: typing.Callable[[typing.Any], typing.Any]
+) -> Proposal:
+    """Return the proposal of a command."""
+    return Proposal(commands.encode_command(command), reply)
+
+
+def _job_in(queue: QueuePolicy, path: str) -> JobId:
+    return JobId(path[len(queue.prefix) :])
+
+
+def _not_configured() -> CassiaholdError:
+    return CassiaholdError(
+        ErrorKind.NOT_CONFIGURED, 'no configuration has been stored'
+    )
--- /dev/null
+++ b/programs/cell/src/cassiahold/cell/workers.py
@@ -0,0 +1,440 @@
+"""The leader's sessions with workers, and what their answers mean."""
+
+import time
+import typing
+
+import msgspec
+
+from cassiahold.agreement.replica import Proposal
+from cassiahold.cell import local_requests as local
+from cassiahold.cell import requests
+from cassiahold.cell.ports import (
+    Answer,
+    LookOrder,
+    OrderReply,
+    StartOrder,
+    StopOrder,
+)
+from cassiahold.cell.settings import LOOK_WAIT_S, CellSettings
+from cassiahold.core import logs
+from cassiahold.core.clock import steady
+from cassiahold.core.ids import WorkerId
+from cassiahold.workflows import commands
+from cassiahold.workflows.advising import AdviceBook
+from cassiahold.workflows.model import RunEnd, RunKey, WorkerInfo
+from cassiahold.workflows.planning import Question
+from cassiahold.workflows.sessions import Findings, WorkerSession
+from cassiahold.workflows.state import WorkState
+
+FENCES_PER_TERM: typing.Final = 1_000_000
+LEFT_S: typing.Final = 0.5  # a worker that left has surely ended after this
+
+
+class Outlet(typing.Protocol):
+    """Carries orders out in threads of their own; never waits."""
+
+    def open_session(self, worker: WorkerInfo, fence: int) -> None:
+        """Begin to look at a worker."""
+
+    def start_run(self, order: StartOrder) -> None:
+        """Send a start."""
+
+    def stop_run(self, order: StopOrder) -> None:
+        """Send a stop until it is answered."""
+
+    def ask_advisor(self, question: Question) -> None:
+        """Queue a call to the advisor."""
+
+
+class _Beat(msgspec.Struct):
+    born: int
+    sequence: int
+
+
+class WorkerBoard:
+    """Every worker as the leader sees it."""
+
+    def __init__(
+        self,
+        state: WorkState,
+        settings: CellSettings,
+        outlet: Outlet,
+        advice: AdviceBook,
+        term: int,
+    ) -> None:
+        self._state = state
+        self._settings = settings
+        self._outlet = outlet
+        self._advice = advice
+        self._term = term
+        self._fences = 0
+        self._session_by_worker: dict[WorkerId, WorkerSession] = {}
+        self._beat_by_worker: dict[WorkerId, _Beat] = {}
+        self._left_by_worker: dict[WorkerId, float] = {}
+        self._stopping: set[RunKey] = set()
+        self._saved_by_run: dict[RunKey, str] = {}
+
+    def open_all(self, now: float) -> None:
+        """Open a session with every known worker."""
+        for worker in self._state.worker_by_id.values():
+            self._open(worker.info, now)
+
+    def close(self) -> None:
+        """End every session; their threads end at their next report."""
+        self._session_by_worker.clear()
+
+    def usable(self, now: float) -> dict[WorkerId, bool]:
+        """Return which workers may get new work."""
+        return {
+            worker_id: session.is_usable(now)
+            and worker_id not in self._left_by_worker
+            for worker_id, session in self._session_by_worker.items()
+        }
+
+    def due(self, now: float) -> list[commands.Command]:
+        """Return the removal of workers that surely run nothing any more."""
+        found: list[commands.Command] = []
+        for worker_id, session in list(self._session_by_worker.items()):
+            left_at = self._left_by_worker.get(worker_id)
+            has_left = left_at is not None and now >= left_at + LEFT_S
+            if not has_left and not session.is_dead(now):
+                continue
+            self._session_by_worker.pop(worker_id)
+            self._left_by_worker.pop(worker_id, None)
+            logs.info(
+                'worker_lost',
+                worker=worker_id,
+                born=session.info.born,
+                has_left=has_left,
+                silent_s=now - (session.heard_at or now),
+            )
+            found.append(self._last_checkpoints(worker_id))
+            found.append(
+                commands.ForgetWorker(worker_id, session.info.born, time.time())
+            )
+        return found
+
+    def _last_checkpoints(self, worker_id: WorkerId) -> commands.EndRuns:
+        record = self._state.worker_by_id.get(worker_id)
+        runs = () if record is None else tuple(record.runs)
+        ends = [
+            commands.End(
+                run,
+                worker_id,
+                RunEnd.LOST,
+                self._saved_by_run.pop(run, ''),
+            )
+            for run in runs
+        ]
+        return commands.EndRuns(ends, time.time())
+
+    def follow(self, effect: commands.Effect, now: float) -> None:
+        """Act on what a command changed."""
+        if isinstance(effect, commands.RunStarted):
+            if effect.term == self._term:
+                self._send_start(effect.start, now)
+        elif isinstance(effect, commands.RunUnwanted):
+            self._send_stop(effect.run, effect.worker, effect.why)
+        elif isinstance(effect, commands.StepSettled):
+            self._advice.forget(effect.step)
+        else:
+            self._refresh(effect.worker, now)
+
+    # Heartbeats.
+
+    def beat(
+        self, request: requests.WorkerBeat, now: float
+    ) -> requests.BeatAccepted | Proposal:
+        """Take a heartbeat; an overtaken one changes nothing."""
+        info = request.info
+        known = self._state.worker_by_id.get(info.id)
+        if self._is_overtaken(request):
+            return self._beaten()
+        self._beat_by_worker[info.id] = _Beat(info.born, request.sequence)
+        if known is not None and known.info == info:
+            if info.id not in self._session_by_worker:
+                self._open(info, now)
+            return self._beaten()
+        logs.info(
+            'worker_changed',
+            worker=info.id,
+            born=info.born,
+            is_draining=info.is_draining,
+            sequence=request.sequence,
+        )
+        return Proposal(
+            commands.encode_command(commands.PutWorker(info)),
+            lambda _: self._beaten(),
+        )
+
+    def left(
+        self, request: requests.WorkerLeft, now: float
+    ) -> requests.Acknowledged:
+        """Take a worker's last word."""
+        session = self._session_by_worker.get(request.id)
+        if session is not None and request.born in {0, session.info.born}:
+            self._left_by_worker.setdefault(request.id, now)
+            logs.info('worker_left', worker=request.id, born=request.born)
+        return requests.Acknowledged()
+
+    def _is_overtaken(self, request: requests.WorkerBeat) -> bool:
+        info = request.info
+        known = self._state.worker_by_id.get(info.id)
+        if known is not None and info.born < known.info.born:
+            return True
+        newest = self._beat_by_worker.get(info.id)
+        if newest is None:
+            return False
+        return (info.born, request.sequence) < (newest.born, newest.sequence)
+
+    def _beaten(self) -> requests.BeatAccepted:
+        return requests.BeatAccepted(self._settings.address)
+
+    # Looks.
+
+    def next_look(
+        self, request: local.NextLook, now: float
+    ) -> LookOrder | local.SessionClosed:
+        """Return the first look of a session."""
+        session = self._session(request.worker, request.fence)
+        if session is None:
+            return local.SessionClosed()
+        return self._look(session, now, wait_s=0.0)
+
+    def look_done(
+        self, request: local.LookDone, now: float
+    ) -> LookOrder | local.SessionClosed | Proposal:
+        """Take a look and return the next one."""
+        session = self._session(request.worker, request.fence)
+        if session is None:
+            return local.SessionClosed()
+        if request.is_other_incarnation:
+            # Another process holds the address: the worker has ended.
+            self._left_by_worker.setdefault(request.worker, now - LEFT_S)
+            return local.SessionClosed()
+        if request.view is None:
+            return self._look(session, now, wait_s=0.0)
+        if request.view.born not in {0, session.info.born}:
+            return self._reborn(session, request.view.born)
+        return self._take_view(session, request, now)
+
+    def _reborn(self, session: WorkerSession, born: int) -> Proposal:
+        info = msgspec.structs.replace(session.info, born=born)
+        return Proposal(
+            commands.encode_command(commands.PutWorker(info)),
+            lambda _: local.SessionClosed(),
+        )
+
+    def _take_view(
+        self, session: WorkerSession, request: local.LookDone, now: float
+    ) -> LookOrder | Proposal:
+        worker = self._state.worker_by_id[session.info.id]
+        view = request.view
+        if view is None:
+            return self._look(session, now, wait_s=0.0)
+        was_fenced = session.is_fenced
+        for row in view.running:
+            if row.saved:
+                self._saved_by_run[row.run] = row.saved
+        findings = session.on_view(view, worker.runs, request.sent_at, now)
+        if not was_fenced:
+            logs.info(
+                'worker_fenced',
+                worker=session.info.id,
+                fence=session.fence,
+                running=len(view.running),
+                expected=len(worker.runs),
+            )
+        for run in findings.strays:
+            self._send_stop(run, session.info.id, 'not_expected')
+        self._stop_unwanted(session, worker.runs)
+        if not findings.ends:
+            session.last_seen = findings.newest_end
+            return self._look(session, now)
+        return Proposal(
+            commands.encode_command(
+                commands.EndRuns(
+                    [self._with_checkpoint(end) for end in findings.ends],
+                    time.time(),
+                )
+            ),
+            lambda _: self._ends_stored(session, findings),
+        )
+
+    def _with_checkpoint(self, end: commands.End) -> commands.End:
+        saved = end.saved or self._saved_by_run.get(end.run, '')
+        return commands.End(end.run, end.worker, end.how, saved)
+
+    def _ends_stored(
+        self, session: WorkerSession, findings: Findings
+    ) -> LookOrder:
+        for end in findings.ends:
+            self._stopping.discard(end.run)
+            self._saved_by_run.pop(end.run, None)
+            logs.info(
+                'run_ended',
+                job=end.run.task.step.job,
+                step=end.run.task.step.step,
+                task=end.run.task.index,
+                attempt=end.run.attempt,
+                worker=end.worker,
+                how=end.how.value,
+            )
+        session.last_seen = findings.newest_end
+        return self._look(session, steady())
+
+    def _stop_unwanted(
+        self, session: WorkerSession, runs: typing.Iterable[RunKey]
+    ) -> None:
+        for run in list(runs):
+            if not self._state.is_wanted(run):
+                self._send_stop(run, session.info.id, 'job_over')
+
+    def _look(
+        self, session: WorkerSession, now: float, wait_s: float = LOOK_WAIT_S
+    ) -> LookOrder:
+        return LookOrder(
+            session.info,
+            session.fence,
+            session.last_seen,
+            session.lease_until_ms(now),
+            wait_s if session.is_fenced else 0.0,
+        )
+
+    # Orders.
+
+    def start_done(
+        self, request: local.StartDone, now: float
+    ) -> requests.Acknowledged | Proposal:
+        """Take a worker's answer to a start."""
+        session = self._session(request.worker, request.fence)
+        reply = request.reply
+        if session is None:
+            return requests.Acknowledged()
+        logs.info(
+            'start_answered',
+            job=request.run.task.step.job,
+            step=request.run.task.step.step,
+            task=request.run.task.index,
+            attempt=request.run.attempt,
+            worker=request.worker,
+            answer='none' if reply is None else reply.answer.value,
+        )
+        if reply is None:
+            self._send_stop(request.run, request.worker, 'unanswered')
+            return requests.Acknowledged()
+        session.note_clock(reply.clock_ms, now)
+        if reply.answer is Answer.DONE:
+            session.answered(request.run, now)
+            return requests.Acknowledged()
+        return self._refused(session, request.run, reply, now)
+
+    def stop_done(
+        self, request: local.StopDone, now: float
+    ) -> requests.Acknowledged:
+        """Take a worker's answer to a stop; the end comes with a look."""
+        self._stopping.discard(request.run)
+        session = self._session(request.worker, request.fence)
+        if session is not None and request.reply is not None:
+            session.withdrawn(request.run, now)
+        return requests.Acknowledged()
+
+    def advice_done(self, request: local.AdviceDone, now: float) -> None:
+        """Take an advisor's answer."""
+        question = request.question
+        if request.advice is None:
+            self._advice.failed(question.step)
+            return
+        self._advice.answered(
+            question.step,
+            question.queue.name,
+            question.workers,
+            request.advice,
+            now,
+        )
+
+    def _refused(
+        self,
+        session: WorkerSession,
+        run: RunKey,
+        reply: OrderReply,
+        now: float,
+    ) -> Proposal:
+        if reply.answer is Answer.SICK:
+            session.rest(now)
+        if reply.answer is Answer.NO_TICKET:
+            self._advice.drop_ticket(run.task.step, session.info.id)
+        end = commands.End(run, session.info.id, RunEnd.LOST)
+        return Proposal(
+            commands.encode_command(commands.EndRuns([end], time.time())),
+            lambda _: requests.Acknowledged(),
+        )
+
+    def _send_start(self, start: commands.Start, now: float) -> None:
+        session = self._session_by_worker.get(start.worker)
+        if session is None or session.info.born != start.born:
+            return
+        until_ms = session.lease_until_ms(now)
+        if until_ms is None:
+            return
+        step = start.run.task.step
+        record = self._state.job_by_id[step.job]
+        tasks = record.step(step).tasks
+        ticket = self._advice.ticket(step, session.info, now)
+        session.order(start.run)
+        self._outlet.start_run(
+            StartOrder(
+                session.info,
+                start.run,
+                record.spec.payload,
+                session.fence,
+                until_ms,
+                tasks[start.run.task.index].saved,
+                '' if ticket is None else ticket.token,
+            )
+        )
+
+    def _send_stop(self, run: RunKey, worker_id: WorkerId, why: str) -> None:
+        session = self._session_by_worker.get(worker_id)
+        if session is None or run in self._stopping:
+            return
+        self._stopping.add(run)
+        logs.info(
+            'run_unwanted',
+            job=run.task.step.job,
+            step=run.task.step.step,
+            task=run.task.index,
+            attempt=run.attempt,
+            worker=worker_id,
+            why=why,
+        )
+        self._outlet.stop_run(StopOrder(session.info, run, session.fence))
+
+    # Sessions.
+
+    def _session(self, worker: WorkerId, fence: int) -> WorkerSession | None:
+        session = self._session_by_worker.get(worker)
+        if session is None or session.fence != fence:
+            return None
+        return session
+
+    def _refresh(self, worker_id: WorkerId, now: float) -> None:
+        record = self._state.worker_by_id.get(worker_id)
+        if record is None:
+            self._session_by_worker.pop(worker_id, None)
+            return
+        session = self._session_by_worker.get(worker_id)
+        if session is None or session.info.born != record.info.born:
+            self._open(record.info, now)
+        else:
+            session.info = record.info
+
+    def _open(self, info: WorkerInfo, now: float) -> None:
+        self._fences += 1
+        fence = self._term * FENCES_PER_TERM + self._fences
+        session = WorkerSession(
+            info, fence, self._settings.worker.max_lease_s, now
+        )
+        self._session_by_worker[info.id] = session
+        self._left_by_worker.pop(info.id, None)
+        self._outlet.open_session(info, fence)
--- a/programs/gateway/src/cassiahold/gateway/http.py
+++ b/programs/gateway/src/cassiahold/gateway/http.py
@@ -19,6 +19,7 @@
     403: 'Forbidden',
     404: 'Not Found',
     409: 'Conflict',
+    410: 'Gone',
     413: 'Content Too Large',
     422: 'Unprocessable Content',
     429: 'Too Many Requests',
@@ -127,6 +128,7 @@
 
 
 Handler = typing.Callable[[HttpRequest], HttpAnswer]
+ErrorAnswer = typing.Callable[[CassiaholdError], HttpAnswer]
 
 
 class Route(msgspec.Struct, frozen=True):
@@ -145,8 +147,14 @@
 class Application:
     """The WSGI entry: finds the handler and answers every error."""
 
-    def __init__(self, routes: list[Route], metrics: Metrics) -> None:
+    def __init__(
+        self,
+        routes: list[Route],
+        metrics: Metrics,
+        answer_error: ErrorAnswer = error_answer,
+    ) -> None:
         self._routes = routes
+        self._answer_error = answer_error
         self._metrics = metrics
 
     def __call__(
@@ -184,10 +192,10 @@
                     kind=exc.kind.value,
                     detail=exc.detail,
                 )
-            return error_answer(exc)
+            return self._answer_error(exc)
         except Exception as exc:  # noqa: BLE001
             logs.error('handler_fault', path=request.path, error=repr(exc))
-            return error_answer(
+            return self._answer_error(
                 CassiaholdError(ErrorKind.INTERNAL, type(exc).__name__)
             )
 
