--- a/libs/core/src/cassiahold/core/logs.py
+++ b/libs/core/src/cassiahold/core/logs.py
@@ -19,6 +19,7 @@
 MAX_LINES_PER_S: typing.Final = 50
 MAX_QUEUED_LINES: typing.Final = 4096
 _FLUSH_S: typing.Final = 1.0
+_POLL_S: typing.Final = 0.01
 _NEEDS_QUOTES = frozenset((' ', '=', '"', '\\', '\n', '\t'))
 
 
@@ -52,7 +53,9 @@
         if count.second != int(now):
             if count.left_out:
                 fields = {**fields, 'left_out': count.left_out}
-            count.second, count.lines, count.left_out = int(now), 0, 0
+            count.second = int(now)
+            count.lines = 0
+            count.left_out = 0
         count.lines += 1
         if count.lines > MAX_LINES_PER_S:
             count.left_out += 1
@@ -67,7 +70,7 @@
         """Wait a moment for the queued lines."""
         deadline = time.monotonic() + timeout_s
         while not self._lines.empty() and time.monotonic() < deadline:
-            time.sleep(0.01)
+            time.sleep(_POLL_S)
 
     def _run(self) -> None:
         while True:
--- a/libs/journal/src/cassiahold/journal/framing.py
+++ b/libs/journal/src/cassiahold/journal/framing.py
@@ -14,7 +14,7 @@
 MAGIC: typing.Final = b'CSHJ\x00\x01'  # the last two bytes are the version
 HEADER: typing.Final = struct.Struct('<II')  # payload length, CRC-32
 MAX_RECORD_BYTES: typing.Final = 67_108_864  # 64 MiB
-_BATCH_FLAG: typing.Final = 0x8000_0000  # in the length of a shared frame
+_BATCH_FLAG: typing.Final = 0x80000000  # in the length of a shared frame
 _LENGTH: typing.Final = struct.Struct('<I')
 
 
--- a/libs/journal/tests/test_journal.py
+++ b/libs/journal/tests/test_journal.py
@@ -144,7 +144,9 @@
         raise OSError(errno.EIO, 'power is lost')
 
     def lose(self, fates: tuple[str, ...]) -> None:
-        for (path, start, size), fate in zip(self.unsynced, fates):
+        for (path, start, size), fate in zip(
+            self.unsynced, fates, strict=False
+        ):
             content = bytearray(path.read_bytes())
             kept = {'kept': size, 'torn': size // 2, 'lost': 0}[fate]
             content[start + kept : start + size] = bytes(size - kept)
--- a/libs/wire/src/cassiahold/wire/group_client.py
+++ b/libs/wire/src/cassiahold/wire/group_client.py
@@ -73,7 +73,9 @@
         replica = self._leader
         channel = self._channel_by_replica[replica]
         try:
-            reply = channel.call(self.group, request, timeout_s, traceparent)
+            reply: Reply = channel.call(
+                self.group, request, timeout_s, traceparent
+            )
         except CassiaholdError as exc:
             self._leader = self._next_after(replica)
             raise _TryAnotherError(exc) from exc
--- a/libs/workflows/src/cassiahold/workflows/model.py
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -50,7 +50,7 @@
     """One task of a step."""
 
     step: StepKey
-    index: int
+    number: int
 
 
 class RunKey(typing.NamedTuple):
--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -70,10 +70,10 @@
 def objective_s(record: JobRecord, queue: QueuePolicy) -> float:
     """Return how long a job may take to be on time."""
     steps = record.spec.steps
-    chain = [0.0] * len(steps)
-    for number, step in enumerate(steps):
+    chain: list[float] = []
+    for step in steps:
         before = max((chain[earlier] for earlier in step.after), default=0.0)
-        chain[number] = before + step.expected_s
+        chain.append(before + step.expected_s)
     return queue.objective_s + queue.slack * max(chain, default=0.0)
 
 
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -26,10 +26,10 @@
     StepKey,
     StepSpec,
     TaskKey,
-    TaskRecord,
     WorkerRecord,
     new_job,
 )
+from cassiahold.workflows.reservations import Reservations
 
 _UNWANTED_STATES: typing.Final = frozenset(
     (JobState.FAILED, JobState.CANCELLED)
@@ -95,7 +95,7 @@
 
     def usage_of(self, team: TeamName) -> Resources:
         """Return what a team may have running."""
-        return self._usage_by_team.get(team, NOTHING)
+        return self._reservations.usage_of(team)
 
     def waiting_steps(self) -> list[StepKey]:
         """Return the ready steps that have a task to start."""
@@ -110,7 +110,8 @@
         record = self._kept.job_by_id.get(key.step.job)
         if record is None:
             return None
-        return record.step(key.step).tasks[key.index].run
+        task = record.step(key.step).tasks[key.number]
+        return task.run
 
     def is_wanted(self, run: RunKey) -> bool:
         """Tell whether a run that may be in progress should go on."""
@@ -129,7 +130,8 @@
 
     def spec_of(self, key: StepKey) -> StepSpec:
         """Return what a step asks for."""
-        return self._kept.job_by_id[key.job].spec.steps[key.step]
+        spec = self._kept.job_by_id[key.job].spec
+        return spec.steps[key.step]
 
     def drain_effects(self) -> list[commands.Effect]:
         """Return and forget what has changed since the last call."""
@@ -248,12 +250,17 @@
 
     def prune(self, command: commands.PruneJobs) -> int:
         """Forget jobs that finished long ago and hold no worker."""
+        busy = {
+            run.task.step.job
+            for worker in self._kept.worker_by_id.values()
+            for run in worker.runs
+        }
         old = [
             record.id
             for record in self._kept.job_by_id.values()
             if not record.is_open
             and record.finished_at < command.finished_before
-            and record.id not in self._busy_jobs()
+            and record.id not in busy
         ]
         for job in old:
             self._kept.job_by_id.pop(job)
@@ -261,17 +268,10 @@
 
     # Helpers.
 
-    def _busy_jobs(self) -> set[JobId]:
-        return {
-            run.task.step.job
-            for worker in self._kept.worker_by_id.values()
-            for run in worker.runs
-        }
-
     def _reset_derived(self) -> None:
         self.index = ConfigurationIndex(self._kept.configuration)
         self._waiting: dict[StepKey, None] = {}
-        self._usage_by_team: dict[TeamName, Resources] = {}
+        self._reservations = Reservations(self._kept.worker_by_id)
         self._untouched_by_queue: dict[QueueName, int] = {}
         for record in self._kept.job_by_id.values():
             if record.state is JobState.QUEUED:
@@ -285,20 +285,9 @@
         for index, task in enumerate(record.step(key).tasks):
             if task.run is not None:
                 run = RunKey(TaskKey(key, index), task.run.attempt)
-                self._reserve(record, run, task.run.worker, resources)
-
-    def _reserve(
-        self,
-        record: JobRecord,
-        run: RunKey,
-        worker_id: WorkerId,
-        resources: Resources,
-    ) -> None:
-        worker = self._kept.worker_by_id[worker_id]
-        worker.reserved += resources
-        worker.runs[run] = resources
-        usage = self.usage_of(record.team) + resources
-        self._usage_by_team[record.team] = usage
+                self._reservations.reserve(
+                    record.team, run, task.run.worker, resources
+                )
 
     def _count_untouched(self, record: JobRecord, change: int) -> None:
         count = self.untouched_jobs(record.queue) + change
@@ -335,11 +324,13 @@
     def _start_one(self, start: commands.Start, term: int) -> None:
         key = start.run.task.step
         record = self._kept.job_by_id[key.job]
-        task = record.step(key).tasks[start.run.task.index]
+        task = record.step(key).tasks[start.run.task.number]
         task.attempt = start.run.attempt
         task.run = Run(start.run.attempt, start.worker, start.born)
         resources = self.spec_of(key).resources
-        self._reserve(record, start.run, start.worker, resources)
+        self._reservations.reserve(
+            record.team, start.run, start.worker, resources
+        )
         if record.state is JobState.QUEUED:
             record.state = JobState.ACTIVE
             self._count_untouched(record, -1)
@@ -351,13 +342,14 @@
         record = self._kept.job_by_id.get(key.job)
         if record is None:
             return
-        task = record.step(key).tasks[ended.run.task.index]
+        task = record.step(key).tasks[ended.run.task.number]
         run = task.run
         if run is None or run.attempt != ended.run.attempt:
             return
         if run.worker != ended.worker:
             return
-        self._release(record, task, ended.run)
+        self._reservations.release(record.team, ended.run, run.worker)
+        task.run = None
         if ended.saved:
             self._keep_checkpoint(record, ended)
         self._settle(record, ended, at)
@@ -371,19 +363,7 @@
             for member in tasks:
                 member.saved = ended.saved
         else:
-            tasks[ended.run.task.index].saved = ended.saved
-
-    def _release(
-        self, record: JobRecord, task: TaskRecord, run: RunKey
-    ) -> None:
-        if task.run is None:
-            return
-        worker = self._kept.worker_by_id[task.run.worker]
-        resources = worker.runs.pop(run)
-        worker.reserved -= resources
-        usage = self.usage_of(record.team) - resources
-        self._usage_by_team[record.team] = usage
-        task.run = None
+            tasks[ended.run.task.number].saved = ended.saved
 
     def _settle(
         self, record: JobRecord, ended: commands.End, at: float
@@ -408,7 +388,7 @@
         spec = record.spec.steps[key.step]
         # One member of a gang that is done stands for all of them.
         tasks = (
-            step.tasks if spec.is_gang else [step.tasks[ended.run.task.index]]
+            step.tasks if spec.is_gang else [step.tasks[ended.run.task.number]]
         )
         for task in tasks:
             step.undone -= int(not task.is_done)
@@ -425,7 +405,7 @@
     ) -> None:
         key = ended.run.task.step
         step = record.step(key)
-        task = step.tasks[ended.run.task.index]
+        task = step.tasks[ended.run.task.number]
         if task.is_done:
             return
         task.failures += 1
@@ -503,7 +483,7 @@
     key = start.run.task.step
     if not record.is_open or not record.is_ready(key):
         return False
-    task = record.step(key).tasks[start.run.task.index]
+    task = record.step(key).tasks[start.run.task.number]
     return (
         task.run is None
         and not task.is_done
--- /dev/null
+++ b/libs/workflows/tests/test_planning.py
@@ -0,0 +1,165 @@
+"""Tests of placement, order and questions under load."""
+
+import typing
+
+from workbench import BIG, TEAM, Cell, configuration, queue, step
+
+from cassiahold.core.ids import QueueName, WorkerId
+from cassiahold.core.resources import Resources
+from cassiahold.core.testing import function_tests
+from cassiahold.workflows.advising import Advice, AdviceBook
+from cassiahold.workflows.planning import Plan, Planner
+
+
+def plan(
+    cell: Cell,
+    advice: AdviceBook | None = None,
+    now: float = 0.0,
+    **unusable: typing.Any,
+) -> Plan:
+    usable = {
+        worker: worker not in unusable.get('unusable', ())
+        for worker in cell.state.worker_by_id
+    }
+    return Planner(
+        cell.state, advice or AdviceBook(), usable, now, now
+    ).plan()
+
+
+def test_a_burst_of_urgent_work_goes_before_older_batch_work() -> None:
+    cell = Cell('w', config=configuration(queue('batch', 2), queue('live', 0)))
+    cell.submit('old', step(8), queue='batch', at=0.0)
+    cell.submit('new', step(4), queue='live', at=0.5)
+    groups = plan(cell, now=0.6).groups
+    assert {group[0].run.task.step.job for group in groups} == {'new'}
+
+
+def test_work_that_can_be_on_time_goes_before_late_work() -> None:
+    cell = Cell('w')
+    cell.submit('late', step(4, expected_s=1.0), at=0.0)
+    cell.submit('fresh', step(4, expected_s=1.0), at=4.0)
+    groups = plan(cell, now=5.0).groups
+    assert {group[0].run.task.step.job for group in groups} == {'fresh'}
+
+
+def test_no_more_is_placed_than_fits() -> None:
+    cell = Cell('w', 'x')
+    cell.submit('j', step(20))
+    groups = plan(cell).groups
+    assert len(groups) == 8
+    assert {len(group) for group in groups} == {1}
+
+
+def test_a_gang_starts_whole_or_not_at_all() -> None:
+    cell = Cell('w', 'x')
+    cell.submit('wide', step(9, is_gang=True))
+    assert not plan(cell).groups
+    cell.submit('fits', step(8, is_gang=True))
+    groups = plan(cell).groups
+    assert [len(group) for group in groups] == [8]
+    assert len({start.run.attempt for start in groups[0]}) == 1
+
+
+def test_a_limit_of_a_team_is_kept() -> None:
+    limit = Resources(cores_m=3500)
+    cell = Cell('w', 'x', config=configuration(limit=limit))
+    cell.submit('j', step(8))
+    assert len(plan(cell).groups) == 3
+    cell.submit('gang', step(4, is_gang=True), at=-1.0)
+    jobs = {group[0].run.task.step.job for group in plan(cell).groups}
+    assert jobs == {'j'}
+
+
+def test_spread_and_labels_are_kept() -> None:
+    cell = Cell('w', 'x')
+    cell.submit('j', step(4, most_per_worker=1))
+    workers = [group[0].worker for group in plan(cell).groups]
+    assert sorted(workers) == ['w', 'x']
+    cell.submit('k', step(needs_label='gpu'), at=-1.0)
+    jobs = {group[0].run.task.step.job for group in plan(cell).groups}
+    assert 'k' not in jobs
+
+
+def test_unusable_workers_get_nothing() -> None:
+    cell = Cell('w', 'x')
+    cell.submit('j', step(8))
+    groups = plan(cell, unusable={WorkerId('w')}).groups
+    assert {group[0].worker for group in groups} == {'x'}
+
+
+def test_an_advised_step_asks_about_few_workers_then_starts() -> None:
+    names = [f'w{number}' for number in range(30)]
+    cell = Cell(*names, config=configuration(queue(advised=True)))
+    cell.submit('j', step(4))
+    advice = AdviceBook()
+    first = plan(cell, advice)
+    assert not first.groups
+    (question,) = first.questions
+    assert 1 < len(question.workers) < 10
+    advice.asked(question.step)
+    assert not plan(cell, advice).questions
+    allowed = question.workers[0].id
+    advice.answered(
+        question.step,
+        QueueName('plans'),
+        question.workers,
+        Advice({allowed: 'token'}, 2.0),
+        0.0,
+    )
+    groups = plan(cell, advice, now=0.1).groups
+    assert {group[0].worker for group in groups} == {allowed}
+
+
+def test_a_lapsed_ticket_is_renewed_by_asking_about_allowed_workers() -> None:
+    cell = Cell('w', 'x', config=configuration(queue(advised=True)))
+    cell.submit('j', step(2))
+    advice = AdviceBook()
+    (question,) = plan(cell, advice).questions
+    advice.asked(question.step)
+    advice.answered(
+        question.step,
+        QueueName('plans'),
+        question.workers,
+        Advice({WorkerId('w'): 'token'}, 2.0),
+        0.0,
+    )
+    later = plan(cell, advice, now=3.0)
+    assert not later.groups
+    assert [worker.id for worker in later.questions[0].workers] == ['w']
+
+
+def test_nobody_is_asked_while_there_is_no_room() -> None:
+    cell = Cell('w', config=configuration(queue(advised=True)))
+    cell.submit('j', step(1, resources=BIG + BIG))
+    assert not plan(cell).questions
+
+
+def test_small_work_does_not_starve_a_waiting_gang() -> None:
+    settings = configuration(
+        queue('gangs', 1, advised=True), queue('small', 2)
+    )
+    cell = Cell('w', 'x', config=settings)
+    cell.submit('gang', step(9, is_gang=True), queue='gangs')
+    cell.submit('small', step(8), queue='small')
+    advice = AdviceBook()
+    key = cell.state.waiting_steps()[0]
+    advice.asked(key)
+    infos = [each.info for each in cell.state.worker_by_id.values()]
+    advice.answered(
+        key,
+        QueueName('gangs'),
+        infos,
+        Advice({info.id: 'token' for info in infos}, 2.0),
+        0.0,
+    )
+    assert not plan(cell, advice, now=0.1).groups
+
+
+def test_a_team_without_room_does_not_hold_back_others() -> None:
+    cell = Cell('w', config=configuration(limit=Resources(cores_m=1)))
+    cell.submit('j', step(4))
+    assert not plan(cell).groups
+    assert not cell.state.usage_of(TEAM).cores_m
+
+
+load_tests = function_tests(globals())
--- /dev/null
+++ b/libs/workflows/tests/test_sessions.py
@@ -0,0 +1,97 @@
+"""Tests of leases, fences and unanswered orders of one worker."""
+
+from workbench import run, worker
+
+from cassiahold.core.testing import function_tests
+from cassiahold.workflows.model import RunEnd
+from cassiahold.workflows.sessions import (
+    EndedRow,
+    RunningRow,
+    WorkerSession,
+    WorkerView,
+)
+
+MAX_LEASE_S = 6.0
+
+
+def session(now: float = 0.0) -> WorkerSession:
+    return WorkerSession(worker('w'), 7, MAX_LEASE_S, now)
+
+
+def view(*running: object, ended: tuple[EndedRow, ...] = ()) -> WorkerView:
+    rows = tuple(RunningRow(key, '', 0) for key in running)  # type: ignore
+    return WorkerView(1, 1000, rows, ended)
+
+
+def test_no_work_before_the_worker_answered_under_the_fence() -> None:
+    known = session()
+    assert not known.is_usable(0.0)
+    known.on_view(view(), (), 0.0, 0.1)
+    assert known.is_usable(0.2)
+    assert not known.is_usable(3.0)
+
+
+def test_runs_of_an_earlier_leader_are_settled_by_the_first_look() -> None:
+    known = session()
+    kept, lost = run('j', 0, 0), run('j', 0, 1)
+    findings = known.on_view(view(kept), (kept, lost), 0.0, 0.1)
+    assert [(end.run, end.how) for end in findings.ends] == [
+        (lost, RunEnd.LOST)
+    ]
+
+
+def test_an_unanswered_start_may_be_running_until_it_is_withdrawn() -> None:
+    known = session()
+    known.on_view(view(), (), 0.0, 0.1)
+    late = run('j', 0, 0)
+    known.order(late)
+    assert not known.on_view(view(), (late,), 0.5, 0.6).ends
+    known.withdrawn(late, 1.0)
+    assert not known.on_view(view(), (late,), 0.9, 1.1).ends
+    findings = known.on_view(view(), (late,), 1.2, 1.3)
+    assert findings.ends[0].how is RunEnd.LOST
+
+
+def test_a_withdrawn_run_that_began_after_all_still_holds_its_room() -> None:
+    known = session()
+    known.on_view(view(), (), 0.0, 0.1)
+    late = run('j', 0, 0)
+    known.order(late)
+    known.withdrawn(late, 1.0)
+    assert not known.on_view(view(late), (late,), 1.2, 1.3).ends
+
+
+def test_listed_ends_are_reported_and_strays_are_stopped() -> None:
+    known = session()
+    done, stray = run('j', 0, 0), run('x', 0, 0)
+    findings = known.on_view(
+        view(stray, ended=(EndedRow(3, done, RunEnd.DONE, 's'),)),
+        (done,),
+        0.0,
+        0.1,
+    )
+    assert [(end.run, end.how) for end in findings.ends] == [
+        (done, RunEnd.DONE)
+    ]
+    assert findings.strays == [stray]
+    assert findings.newest_end == 3
+
+
+def test_a_new_leader_waits_for_leases_it_does_not_know() -> None:
+    known = session(now=10.0)
+    assert not known.is_dead(10.0 + MAX_LEASE_S)
+    assert known.is_dead(10.0 + MAX_LEASE_S * 1.1)
+
+
+def test_every_granted_lease_is_waited_for() -> None:
+    known = session()
+    known.on_view(view(), (), 0.0, 0.1)
+    until_ms = known.lease_until_ms(20.0)
+    assert until_ms is not None
+    assert until_ms <= 1000 + (20.0 - 0.1 + MAX_LEASE_S) * 1000
+    # The worker's clock may run 2% slow while the lease lasts.
+    slow_s = 0.1 + (until_ms - 1000) / 1000 / 0.98
+    assert not known.is_dead(slow_s)
+
+
+load_tests = function_tests(globals())
--- /dev/null
+++ b/libs/workflows/tests/workbench.py
@@ -0,0 +1,125 @@
+"""Shared fixtures: a state with workers, jobs and a queue."""
+
+import typing
+
+from cassiahold.core.ids import (
+    DataCentre,
+    JobId,
+    QueueName,
+    ServiceName,
+    TeamName,
+    WorkerId,
+)
+from cassiahold.core.resources import Resources
+from cassiahold.workflows import commands
+from cassiahold.workflows.configuration import (
+    AdvisorPolicy,
+    CellConfiguration,
+    QueuePolicy,
+    ServicePolicy,
+    TeamPolicy,
+)
+from cassiahold.workflows.model import (
+    RunEnd,
+    RunKey,
+    StepKey,
+    StepSpec,
+    TaskKey,
+    WorkerInfo,
+    WorkSpec,
+)
+from cassiahold.workflows.state import WorkState
+
+QUEUE = QueueName('plans')
+TEAM = TeamName('desk')
+CORES = Resources(cores_m=1000, memory_mb=100)
+BIG = Resources(cores_m=4000, memory_mb=4000)
+
+
+def queue(
+    name: str = 'plans', priority: int = 0, *, advised: bool = False
+) -> QueuePolicy:
+    return QueuePolicy(
+        QueueName(name),
+        'host',
+        f'/{name}/',
+        ServiceName('svc'),
+        priority=priority,
+        attempts=2,
+        slack=2.0,
+        objective_s=1.0,
+        advisor=AdvisorPolicy(0.1, 0.001, 2.0) if advised else None,
+    )
+
+
+def configuration(
+    *queues: QueuePolicy, version: int = 1, limit: Resources | None = None
+) -> CellConfiguration:
+    return CellConfiguration(
+        version,
+        queues or (queue(),),
+        (ServicePolicy(ServiceName('svc')),),
+        (TeamPolicy(TEAM, ('key',), limit=limit or Resources()),),
+    )
+
+
+def worker(name: str, born: int = 1, **options: typing.Any) -> WorkerInfo:
+    return WorkerInfo(
+        WorkerId(name),
+        born,
+        f'{name}:80',
+        'svc',
+        DataCentre('east'),
+        options.pop('capacity', BIG),
+        **options,
+    )
+
+
+class Cell:
+    """A state and short ways to change it."""
+
+    def __init__(self, *names: str, config: CellConfiguration | None = None):
+        self.state = WorkState()
+        self.do(
+            commands.PutConfiguration(config or configuration(), b'source')
+        )
+        for name in names:
+            self.do(commands.PutWorker(worker(name)))
+        self.state.drain_effects()
+
+    def do(self, command: commands.Command) -> typing.Any:
+        return self.state.apply(commands.encode_command(command))
+
+    def submit(self, name: str, *steps: StepSpec, **options: typing.Any):
+        spec = WorkSpec('payload', steps, **options.pop('spec', {}))
+        at = options.pop('at', 0.0)
+        queue_name = QueueName(options.pop('queue', QUEUE))
+        return self.do(
+            commands.AcceptJob(JobId(name), queue_name, TEAM, spec, at)
+        )
+
+    def start(self, *starts: tuple[RunKey, str], born: int = 1) -> int:
+        group = [
+            commands.Start(run, WorkerId(on), born) for run, on in starts
+        ]
+        return self.do(commands.StartRuns(1, [group]))
+
+    def end(self, key: RunKey, on: str, how: RunEnd, saved: str = '') -> None:
+        self.do(
+            commands.EndRuns(
+                [commands.End(key, WorkerId(on), how, saved)], 1.0
+            )
+        )
+
+    def job(self, name: str) -> typing.Any:
+        return self.state.job_by_id[JobId(name)]
+
+
+def run(job: str, step: int, number: int, attempt: int = 1) -> RunKey:
+    return RunKey(TaskKey(StepKey(JobId(job), 0, step), number), attempt)
+
+
+def step(tasks: int = 1, **options: typing.Any) -> StepSpec:
+    return StepSpec(
+        tasks=tasks, resources=options.pop('resources', CORES), **options
+    )
--- a/programs/cell/src/cassiahold/cell/calling.py
+++ b/programs/cell/src/cassiahold/cell/calling.py
@@ -4,6 +4,8 @@
 import threading
 import typing
 
+import msgspec
+
 from cassiahold.cell.discovery import Directory
 from cassiahold.cell.requests import CODEC, GroupView, Locate
 from cassiahold.cell.settings import GROUP
@@ -15,7 +17,7 @@
 from cassiahold.wire.transport import Channel
 
 TRY_TIMEOUT_S: typing.Final = 0.7
-PAUSE_S: typing.Final = 0.08
+PAUSE_S: typing.Final = 0.03
 LOCATE_TIMEOUT_S: typing.Final = 0.4
 LOCATE_INTERVAL_S: typing.Final = 1.0
 # Kinds that say that this replica cannot serve, but another may.
@@ -26,6 +28,12 @@
 LocalCall = typing.Callable[[typing.Any], typing.Any]
 
 
+class _Attempt(msgspec.Struct):
+    deadline: float
+    unknown: CassiaholdError | None = None
+    reason: str = 'no replica is known'
+
+
 class LeaderCaller:
     """Finds the leader, asks it, and says truthfully what is not known."""
 
@@ -68,36 +76,46 @@
         Raises the kind of the leader's refusal; ``NO_QUORUM`` when surely
         no leader took the request, ``OUTCOME_UNKNOWN`` when one may have.
         """
-        deadline = steady() + timeout_s
-        unknown: CassiaholdError | None = None
-        reason = 'no replica is known'
+        attempt = _Attempt(steady() + timeout_s)
         while True:
-            for address in self._directory.candidates():
-                left_s = deadline - steady()
-                if left_s <= 0:
-                    break
-                try:
-                    reply = self._try(address, request, left_s)
-                except CassiaholdError as exc:
-                    if exc.kind is ErrorKind.OUTCOME_UNKNOWN:
-                        unknown = exc
-                    elif exc.kind not in _ELSEWHERE:
-                        self._note_served()
-                        raise
-                    reason = exc.detail
-                    self._directory.doubt(address)
-                    if self._directory.leader not in {None, address}:
-                        break
-                else:
-                    self._note_served()
-                    return reply
-            if steady() + PAUSE_S >= deadline:
+            reply = self._ask_each(request, attempt)
+            if reply is not None:
+                return reply
+            if steady() + PAUSE_S >= attempt.deadline:
                 break
             self._stopped.wait(PAUSE_S)
-        self._note_unreachable(reason)
-        if unknown is not None:
-            raise unknown
-        raise CassiaholdError(ErrorKind.NO_QUORUM, reason)
+        self._note_unreachable(attempt.reason)
+        if attempt.unknown is not None:
+            raise attempt.unknown
+        raise CassiaholdError(ErrorKind.NO_QUORUM, attempt.reason)
+
+    def _ask_each(self, request: typing.Any, attempt: '_Attempt') -> typing.Any:
+        for address in self._directory.candidates():
+            left_s = attempt.deadline - steady()
+            if left_s <= 0:
+                break
+            try:
+                reply = self.call(address, request, min(left_s, TRY_TIMEOUT_S))
+            except CassiaholdError as exc:
+                self._note_failure(address, exc, attempt)
+            else:
+                self._note_served()
+                return reply
+            if self._directory.leader not in {None, address}:
+                break
+        return None
+
+    def _note_failure(
+        self, address: str, exc: CassiaholdError, attempt: '_Attempt'
+    ) -> None:
+        if exc.kind is ErrorKind.OUTCOME_UNKNOWN:
+            attempt.unknown = exc
+        elif exc.kind not in _ELSEWHERE:
+            # The leader's own word ends the search.
+            self._note_served()
+            raise exc
+        attempt.reason = exc.detail
+        self._directory.doubt(address)
 
     def call(
         self, address: str, request: typing.Any, timeout_s: float
@@ -125,11 +143,6 @@
                 if view.leader is not None:
                     return
 
-    def _try(
-        self, address: str, request: typing.Any, left_s: float
-    ) -> typing.Any:
-        return self.call(address, request, min(left_s, TRY_TIMEOUT_S))
-
     def _channel(self, address: str) -> Channel:
         with self._lock:
             channel = self._channel_by_address.get(address)
--- a/programs/cell/src/cassiahold/cell/discovery.py
+++ b/programs/cell/src/cassiahold/cell/discovery.py
@@ -25,7 +25,7 @@
         """Return the likely leader's address."""
         return self._leader
 
-    def set_seeds(self, seeds: typing.Iterable[str]) -> None:
+    def replace_seeds(self, seeds: typing.Iterable[str]) -> None:
         """Replace the seeds."""
         self._seeds = tuple(seeds)
 
--- a/programs/cell/src/cassiahold/cell/identity.py
+++ b/programs/cell/src/cassiahold/cell/identity.py
@@ -34,21 +34,30 @@
     """
     path = folder / _FILE
     try:
-        folder.mkdir(parents=True, exist_ok=True)
-        if path.exists():
-            return msgspec.json.decode(path.read_bytes(), type=Identity)
-        if address in first_voters:
-            fresh = Identity(FIRST, tuple(sorted(first_voters)))
-        else:
-            fresh = Identity(secrets.token_hex(_RANDOM_BYTES))
-        _write(path, msgspec.json.encode(fresh))
+        return _load_or_write(path, address, first_voters)
     except (OSError, msgspec.DecodeError) as exc:
         raise CassiaholdError(
             ErrorKind.STORAGE_FAILED, f'{path}: {exc}'
         ) from exc
+
+
+def _load_or_write(
+    path: pathlib.Path, address: str, first_voters: tuple[str, ...]
+) -> Identity:
+    path.parent.mkdir(parents=True, exist_ok=True)
+    if path.exists():
+        return msgspec.json.decode(path.read_bytes(), type=Identity)
+    fresh = _fresh(address, first_voters)
+    _write(path, msgspec.json.encode(fresh))
     return fresh
 
 
+def _fresh(address: str, first_voters: tuple[str, ...]) -> Identity:
+    if address in first_voters:
+        return Identity(FIRST, tuple(sorted(first_voters)))
+    return Identity(secrets.token_hex(_RANDOM_BYTES))
+
+
 def _write(path: pathlib.Path, content: bytes) -> None:
     partial = path.with_suffix('.partial')
     with partial.open('wb') as stream:
--- a/programs/cell/src/cassiahold/cell/node.py
+++ b/programs/cell/src/cassiahold/cell/node.py
@@ -233,7 +233,9 @@
         self._stack.callback(self.caller.close)
         self._stack.callback(self._close_couriers)
         self.caller.start()
-        targets = [self._keep_helping] if self._advisor is not None else []
+        targets: list[typing.Callable[[], None]] = []
+        if self._advisor is not None:
+            targets.append(self._keep_helping)
         if self._replica is not None:
             targets.extend((self._tick, self._keep_joining))
         for target in targets:
@@ -273,9 +275,11 @@
 
     def _receive(self, envelope: Envelope) -> None:
         # The address may have had another disk when this was sent.
-        if envelope.receiver == self._own and self._replica is not None:
-            if self._replica.is_alive():
-                self._replica.tell(envelope)
+        replica = self._replica
+        if replica is None or envelope.receiver != self._own:
+            return
+        if replica.is_alive():
+            replica.tell(envelope)
 
     def _courier(self, address: str) -> Courier:
         with self._courier_lock:
