--- a/libs/core/src/cassiahold/core/lifecycle.py
+++ b/libs/core/src/cassiahold/core/lifecycle.py
@@ -36,13 +36,21 @@
 
 
 class StopSignals:
-    """The first signal asks for a drain, the second stops at once."""
+    """The first signal asks for a drain, the second stops at once.
+
+    A hang-up only sets ``reload``: the settings file has changed.
+    """
 
     def __init__(self) -> None:
         self.requested = threading.Event()
+        self.reload = threading.Event()
+        signal.signal(signal.SIGHUP, self._on_hangup)
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
 
+    def _on_hangup(self, number: int, _: typing.Any) -> None:
+        self.reload.set()
+
     def _on_signal(self, number: int, _: typing.Any) -> None:
         if self.requested.is_set():
             # Nothing may delay the second signal, not even exit handlers.
--- a/libs/wire/src/cassiahold/wire/transport.py
+++ b/libs/wire/src/cassiahold/wire/transport.py
@@ -20,6 +20,7 @@
 MAX_MESSAGE_BYTES: typing.Final = 268_435_456  # 256 MiB
 MAX_QUEUED_ENVELOPES: typing.Final = 4096
 MAX_ENVELOPES_PER_CALL: typing.Final = 256
+MAX_RETIRED: typing.Final = 2  # replaced connections kept open
 # Shorter than an election, so that a silent connection is replaced in time.
 _DELIVER_TIMEOUT_S: typing.Final = 0.8
 _NEVER_CONNECTED: typing.Final = 'failed to connect to all addresses'
@@ -161,6 +162,8 @@
         self._lock = threading.Lock()
         self._stamp = -1.0
         self._channel: typing.Any = None
+        # Calls in progress on a replaced connection may still be answered.
+        self._retired: collections.deque[typing.Any] = collections.deque()
 
     def call(
         self,
@@ -195,8 +198,18 @@
         """Close the connection."""
         with self._lock:
             if self._channel is not None:
-                self._channel.close()
+                self._retired.append(self._channel)
                 self._channel = None
+            while self._retired:
+                self._retired.popleft().close()
+
+    def _retire(self) -> None:
+        with self._lock:
+            if self._channel is not None:
+                self._retired.append(self._channel)
+                self._channel = None
+            while len(self._retired) > MAX_RETIRED:
+                self._retired.popleft().close()
 
     def _stub(self, method: str) -> typing.Any:
         with self._lock:
@@ -212,7 +225,7 @@
         code = exc.code()
         if code is grpc.StatusCode.DEADLINE_EXCEEDED:
             # The connection may be silent for good; the next call opens one.
-            self.close()
+            self._retire()
         detail = f'{self.address}: {code.name}: {exc.details()}'
         # A failed connection never carried the request; a lost one may have.
         refused = _NEVER_CONNECTED in (exc.details() or '')
--- a/programs/cell/src/cassiahold/cell/node.py
+++ b/programs/cell/src/cassiahold/cell/node.py
@@ -42,7 +42,7 @@
 from cassiahold.wire.transport import Channel, Courier, NodeServer
 
 REPLY_TIMEOUT_S: typing.Final = 5.0
-TICKS_PER_HEARTBEAT: typing.Final = 8
+TICKS_PER_HEARTBEAT: typing.Final = 5
 JOIN_INTERVAL_S: typing.Final = 0.5
 HELP_INTERVAL_S: typing.Final = 1.0
 
