Plan passes by room first; learn speed and soundness of workers

Change: a step that fits no free room is passed over first, rooms are sorted once a step, passes keep 8 ms apart. Workers get a learned speed: work goes to the slowest worker on which it is on time.

--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -2,17 +2,23 @@
 
 Steps are taken in the order of ``urgency``: first those that can still be
 on time, by their queue's priority and their due time; late ones after them.
+A task goes to the slowest worker on which it is still on time, so that fast
+ones are left for work with little slack; among equals to the fullest.
 A gang that has to wait keeps the room of its allowed workers from the work
 behind it, so that a stream of small tasks does not starve it.
+
+A pass costs little while the cell is full: a step that fits no worker's
+free room is passed over before its tasks are looked at.
 """
 
 import enum
 import math
+import operator
 import typing
 
 import msgspec
 
-from cassiahold.core.ids import TeamName, WorkerId
+from cassiahold.core.ids import JobId, TeamName, WorkerId
 from cassiahold.core.resources import NOTHING, Resources
 from cassiahold.workflows.advising import AdviceBook
 from cassiahold.workflows.commands import Start
@@ -30,6 +36,11 @@
 LATE_FACTOR: typing.Final = 3.0  # objectives after which an answer is worthless
 
 
+SPEED_STEP: typing.Final = 0.25  # speeds this close count as equal
+SLACK_NEEDED: typing.Final = 1.2  # of the estimate, with starting and noticing
+UNLIMITED: typing.Final = 1 << 40
+
+
 class Standing(enum.IntEnum):
     """What finishing a job can still bring its caller."""
 
@@ -56,7 +67,14 @@
 class _Room(msgspec.Struct):
     info: WorkerInfo
     free: Resources
-    tasks_by_step: dict[StepKey, int] = msgspec.field(default_factory=dict)
+    speed: float
+    runs: typing.Mapping[RunKey, Resources]
+    taken_by_step: dict[StepKey, int] = msgspec.field(default_factory=dict)
+
+    def tasks_of(self, step: StepKey) -> int:
+        """Return how many tasks of a step run or will run here."""
+        running = sum(run.task.step == step for run in self.runs)
+        return running + self.taken_by_step.get(step, 0)
 
 
 class _Candidate(msgspec.Struct, frozen=True):
@@ -64,108 +82,155 @@
     record: JobRecord
     spec: StepSpec
     queue: QueuePolicy
-    tasks: list[int]
+
+
+class Conditions(msgspec.Struct, frozen=True):
+    """What a pass is based on beside the replicated state.
+
+    ``speed_by_worker`` holds the workers that may get work, with their
+    speed (1 is the speed that estimates are made for).  ``now`` is on the
+    steady clock, ``time_of_day`` in seconds since 1970.
+    """
+
+    speed_by_worker: typing.Mapping[WorkerId, float]
+    now: float
+    time_of_day: float
 
 
 def objective_s(record: JobRecord, queue: QueuePolicy) -> float:
     """Return how long a job may take to be on time."""
-    steps = record.spec.steps
     chain: list[float] = []
-    for step in steps:
+    for step in record.spec.steps:
         before = max((chain[earlier] for earlier in step.after), default=0.0)
         chain.append(before + step.expected_s)
     return queue.objective_s + queue.slack * max(chain, default=0.0)
 
 
 def urgency(
-    record: JobRecord, queue: QueuePolicy, now: float
+    record: JobRecord, queue: QueuePolicy, length_s: float, now: float
 ) -> tuple[Standing, int, float]:
     """Return a sort key; the smallest goes first.
 
-    ``now`` is the time of day, as is the job's acceptance.
+    ``now`` is the time of day, as is the job's acceptance; ``length_s`` is
+    the job's objective.
     """
-    length_s = objective_s(record, queue)
-    due_at = record.accepted_at + length_s
+    age_s = now - record.accepted_at
     standing = Standing.ON_TIME
-    if now > record.accepted_at + LATE_FACTOR * length_s:
+    if age_s > LATE_FACTOR * length_s:
         standing = Standing.WORTHLESS
-    elif now > due_at:
+    elif age_s > length_s:
         standing = Standing.LATE
-    return standing, queue.priority, due_at
+    return standing, queue.priority, record.accepted_at + length_s
 
 
 class Planner:
-    """One pass over the waiting steps."""
+    """Plans passes over the waiting steps of one state."""
+
+    def __init__(self, state: WorkState, advice: AdviceBook) -> None:
+        self._state = state
+        self._advice = advice
+        self._objective_by_job: dict[JobId, float] = {}
+
+    def plan(self, conditions: Conditions) -> Plan:
+        """Return starts and questions, the most urgent first."""
+        return _Pass(
+            self._state, self._advice, conditions, self._sorted(conditions)
+        ).run()
+
+    def _sorted(self, conditions: Conditions) -> list[_Candidate]:
+        ranked = []
+        objective_by_job: dict[JobId, float] = {}
+        for key in self._state.waiting_steps():
+            record = self._state.job_by_id[key.job]
+            queue = self._state.index.queue_by_name.get(record.queue)
+            if queue is None:
+                continue
+            if record.spec.due_at(key.occurrence) > conditions.time_of_day:
+                continue
+            length_s = self._objective_by_job.get(key.job)
+            if length_s is None:
+                length_s = objective_s(record, queue)
+            objective_by_job[key.job] = length_s
+            rank = urgency(record, queue, length_s, conditions.time_of_day)
+            spec = record.spec.steps[key.step]
+            ranked.append((rank, key, _Candidate(key, record, spec, queue)))
+        self._objective_by_job = objective_by_job
+        ranked.sort(key=operator.itemgetter(0, 1))
+        return [candidate for _, _, candidate in ranked]
+
+
+class _Pass:
+    """One pass; room that it gives away is counted at once."""
 
     def __init__(
         self,
         state: WorkState,
         advice: AdviceBook,
-        usable: typing.Mapping[WorkerId, bool],
-        now: float,
-        time_of_day: float,
+        conditions: Conditions,
+        candidates: list[_Candidate],
     ) -> None:
         self._state = state
         self._advice = advice
-        self._now = now
-        self._time_of_day = time_of_day
-        self._room_by_worker = {
-            worker.info.id: _Room(worker.info, worker.free, _counts(worker))
+        self._now = conditions.now
+        self._candidates = candidates
+        self._rooms = [
+            _Room(
+                worker.info,
+                worker.free,
+                conditions.speed_by_worker[worker.info.id],
+                worker.runs,
+            )
             for worker in state.worker_by_id.values()
-            if usable.get(worker.info.id)
-        }
+            if worker.info.id in conditions.speed_by_worker
+        ]
+        self._largest = Resources()
         self._added_by_team: dict[TeamName, Resources] = {}
         self._plan = Plan()
 
-    def plan(self) -> Plan:
-        """Return starts and questions, the most urgent first."""
-        for candidate in self._candidates():
+    def run(self) -> Plan:
+        """Place or ask for every candidate."""
+        self._measure()
+        for candidate in self._candidates:
+            if not candidate.spec.resources.fits_in(self._largest):
+                continue
+            tasks = startable_tasks(candidate.record, candidate.key)
             if candidate.spec.is_gang:
-                self._place_gang(candidate)
+                self._place_gang(candidate, tasks)
             else:
-                self._place_tasks(candidate)
+                self._place_tasks(candidate, tasks)
         return self._plan
 
-    def _candidates(self) -> list[_Candidate]:
-        found = []
-        for key in self._state.waiting_steps():
-            record = self._state.job_by_id[key.job]
-            queue = self._state.index.queue_by_name.get(record.queue)
-            if queue is None:
-                continue
-            if record.spec.due_at(key.occurrence) > self._time_of_day:
-                continue
-            tasks = startable_tasks(record, key)
-            spec = record.spec.steps[key.step]
-            found.append(_Candidate(key, record, spec, queue, tasks))
-        found.sort(
-            key=lambda each: urgency(each.record, each.queue, self._time_of_day)
-        )
-        return found
+    def _measure(self) -> None:
+        largest = Resources()
+        for room in self._rooms:
+            largest = largest.at_least(room.free)
+        self._largest = largest
 
     # Tasks that start one by one.
 
-    def _place_tasks(self, candidate: _Candidate) -> None:
-        unplaced = 0
-        for index in candidate.tasks:
-            if not self._is_within_limit(candidate, 1):
-                return
-            room = self._best_room(candidate)
-            if room is None:
-                unplaced = len(candidate.tasks) - candidate.tasks.index(index)
+    def _place_tasks(self, candidate: _Candidate, tasks: list[int]) -> None:
+        allowed = self._within_limit(candidate, len(tasks))
+        starts = self._fill(candidate, tasks[:allowed])
+        self._plan.groups.extend([start] for start in starts)
+        if len(starts) < allowed:
+            self._ask(candidate, allowed - len(starts))
+
+    def _fill(self, candidate: _Candidate, tasks: list[int]) -> list[Start]:
+        starts: list[Start] = []
+        left = list(reversed(tasks))
+        for room in self._usable_rooms(candidate):
+            while left and self._has_room(candidate, room):
+                starts.append(self._take(candidate, left.pop(), room))
+            if not left:
                 break
-            self._plan.groups.append([self._take(candidate, index, room)])
-        if unplaced:
-            self._ask(candidate, unplaced)
-
-    def _best_room(self, candidate: _Candidate) -> _Room | None:
-        best: _Room | None = None
-        for room in self._room_by_worker.values():
-            if not self._may_use(candidate, room):
-                continue
-            if best is None or _rank(candidate, room) < _rank(candidate, best):
-                best = room
-        return best
+        if starts:
+            self._measure()
+        return starts
+
+    def _usable_rooms(self, candidate: _Candidate) -> list[_Room]:
+        rooms = [room for room in self._rooms if self._may_use(candidate, room)]
+        rooms.sort(key=lambda room: _rank(candidate, room))
+        return rooms
 
     def _may_use(self, candidate: _Candidate, room: _Room) -> bool:
         return self._could_use(candidate, room) and (
@@ -178,87 +243,64 @@
         spec = candidate.spec
         if room.info.service != candidate.queue.service:
             return False
-        if not spec.resources.fits_in(room.free):
-            return False
         if spec.needs_label and spec.needs_label not in room.info.labels:
             return False
-        here = room.tasks_by_step.get(candidate.key, 0)
-        return not spec.most_per_worker or here < spec.most_per_worker
+        return self._has_room(candidate, room)
+
+    def _has_room(self, candidate: _Candidate, room: _Room) -> bool:
+        spec = candidate.spec
+        if not spec.resources.fits_in(room.free):
+            return False
+        if not spec.most_per_worker:
+            return True
+        return room.tasks_of(candidate.key) < spec.most_per_worker
 
-    def _take(self, candidate: _Candidate, index: int, room: _Room) -> Start:
+    def _take(self, candidate: _Candidate, number: int, room: _Room) -> Start:
         record = candidate.record
         resources = candidate.spec.resources
         room.free -= resources
-        here = room.tasks_by_step.get(candidate.key, 0)
-        room.tasks_by_step[candidate.key] = here + 1
+        taken = room.taken_by_step.get(candidate.key, 0)
+        room.taken_by_step[candidate.key] = taken + 1
         added = self._added_by_team.get(record.team, NOTHING)
         self._added_by_team[record.team] = added + resources
-        task = TaskKey(candidate.key, index)
-        attempt = self._next_attempt(candidate, index)
-        return Start(RunKey(task, attempt), room.info.id, room.info.born)
-
-    def _next_attempt(self, candidate: _Candidate, index: int) -> int:
-        tasks = candidate.record.step(candidate.key).tasks
-        if candidate.spec.is_gang:
-            return max(task.attempt for task in tasks) + 1
-        return tasks[index].attempt + 1
+        run = RunKey(
+            TaskKey(candidate.key, number), _next_attempt(candidate, number)
+        )
+        return Start(run, room.info.id, room.info.born)
 
-    def _is_within_limit(self, candidate: _Candidate, tasks: int) -> bool:
+    def _within_limit(self, candidate: _Candidate, tasks: int) -> int:
+        """Return how many of a number of tasks the team's limit leaves."""
         team = self._state.index.team_by_name.get(candidate.record.team)
         if team is None:
-            return True
+            return tasks
         used = self._state.usage_of(team.name)
         used += self._added_by_team.get(team.name, NOTHING)
-        used += candidate.spec.resources * tasks
-        return _is_under(used, team.limit)
+        left = _left_under(team.limit, used)
+        return min(_how_many_fit(candidate.spec.resources, left), tasks)
 
     # Gangs.
 
-    def _place_gang(self, candidate: _Candidate) -> None:
-        if not self._is_within_limit(candidate, len(candidate.tasks)):
+    def _place_gang(self, candidate: _Candidate, tasks: list[int]) -> None:
+        if self._within_limit(candidate, len(tasks)) < len(tasks):
             return
-        taken: list[tuple[int, _Room]] = []
-        freed = {
-            room.info.id: room.free for room in self._room_by_worker.values()
-        }
-        starts: list[Start] = []
-        for index in candidate.tasks:
-            room = self._best_room(candidate)
-            if room is None:
-                break
-            taken.append((index, room))
-            starts.append(self._take(candidate, index, room))
-        if len(starts) == len(candidate.tasks):
+        rooms = self._usable_rooms(candidate)
+        if self._capacity_of(candidate, rooms) >= len(tasks):
+            starts = self._fill(candidate, tasks)
             self._plan.groups.append(starts)
             return
-        self._undo(candidate, taken, freed)
-        self._ask(candidate, len(candidate.tasks))
-        self._hold_back(candidate)
+        self._ask(candidate, len(tasks))
+        self._hold_back(candidate, len(tasks))
 
-    def _undo(
-        self,
-        candidate: _Candidate,
-        taken: list[tuple[int, _Room]],
-        freed: dict[WorkerId, Resources],
-    ) -> None:
-        for _, room in taken:
-            room.free = freed[room.info.id]
-            room.tasks_by_step[candidate.key] -= 1
-        team = candidate.record.team
-        added = self._added_by_team.get(team, NOTHING)
-        added -= candidate.spec.resources * len(taken)
-        self._added_by_team[team] = added
-
-    def _hold_back(self, candidate: _Candidate) -> None:
-        left = len(candidate.tasks)
-        for room in self._room_by_worker.values():
+    def _hold_back(self, candidate: _Candidate, tasks: int) -> None:
+        left = tasks
+        for room in self._rooms:
             if not self._advice.is_allowed(candidate.key, room.info.id):
                 continue
             fits = _how_many_fit(candidate.spec.resources, room.free)
-            if fits and left > 0:
-                held = min(fits, left)
-                room.free -= candidate.spec.resources * held
-                left -= held
+            held = min(fits, left)
+            room.free -= candidate.spec.resources * held
+            left -= held
+        self._measure()
 
     # Advice.
 
@@ -278,17 +320,16 @@
     ) -> list[WorkerInfo]:
         allowed: list[_Room] = []
         unknown: list[_Room] = []
-        for room in self._room_by_worker.values():
+        for room in self._rooms:
             if not self._could_use(candidate, room):
                 continue
             if self._advice.is_allowed(candidate.key, room.info.id):
                 allowed.append(room)
             elif not self._advice.is_denied(candidate.key, room.info.id):
                 unknown.append(room)
-        for rooms in (allowed, unknown):
-            rooms.sort(key=lambda room: -room.free.cores_m)
         left = tasks - self._capacity_of(candidate, allowed)
         if left > 0 and unknown:
+            unknown.sort(key=lambda room: _breadth(candidate, room))
             # The workers behind the last one named add little.
             typical = max(
                 self._capacity_of(candidate, unknown) / len(unknown), 1
@@ -308,23 +349,31 @@
         for room in rooms:
             fits = _how_many_fit(candidate.spec.resources, room.free)
             if most:
-                here = room.tasks_by_step.get(candidate.key, 0)
-                fits = min(fits, most - here)
+                fits = min(fits, most - room.tasks_of(candidate.key))
             total += fits
         return total
 
 
-def _rank(candidate: _Candidate, room: _Room) -> tuple[bool, int]:
+def _next_attempt(candidate: _Candidate, number: int) -> int:
+    tasks = candidate.record.step(candidate.key).tasks
+    if candidate.spec.is_gang:
+        return max(task.attempt for task in tasks) + 1
+    return tasks[number].attempt + 1
+
+
+def _rank(candidate: _Candidate, room: _Room) -> tuple[bool, bool, float, int]:
     near = candidate.spec.near_rack
     is_far = bool(near) and near != room.info.rack
-    return is_far, room.free.cores_m
+    speed = round(room.speed / SPEED_STEP) * SPEED_STEP
+    is_slow = speed * candidate.queue.slack < SLACK_NEEDED
+    # Of the workers that are too slow the fastest goes first.
+    order = -speed if is_slow else speed
+    return is_far, is_slow, order, room.free.cores_m
 
 
-def _counts(worker: typing.Any) -> dict[StepKey, int]:
-    counts: dict[StepKey, int] = {}
-    for run in worker.runs:
-        counts[run.task.step] = counts.get(run.task.step, 0) + 1
-    return counts
+def _breadth(candidate: _Candidate, room: _Room) -> tuple[bool, int]:
+    is_slow = room.speed * candidate.queue.slack < SLACK_NEEDED
+    return is_slow, -room.free.cores_m
 
 
 def _how_many_fit(wanted: Resources, free: Resources) -> int:
@@ -340,13 +389,12 @@
     return max(min(fits, default=1), 0)
 
 
-def _is_under(used: Resources, limit: Resources) -> bool:
-    """Tell whether an amount keeps a limit; 0 means no limit."""
-    return all(
-        not most or amount <= most
-        for amount, most in (
-            (used.cores_m, limit.cores_m),
-            (used.memory_mb, limit.memory_mb),
-            (used.accelerators, limit.accelerators),
-        )
+def _left_under(limit: Resources, used: Resources) -> Resources:
+    """Return what a limit leaves; 0 in a limit means none."""
+    return Resources(
+        limit.cores_m - used.cores_m if limit.cores_m else UNLIMITED,
+        limit.memory_mb - used.memory_mb if limit.memory_mb else UNLIMITED,
+        limit.accelerators - used.accelerators
+        if limit.accelerators
+        else UNLIMITED,
     )
--- a/libs/workflows/tests/test_planning.py
+++ b/libs/workflows/tests/test_planning.py
@@ -1,29 +1,31 @@
 """Tests of placement, order and questions under load."""
 
-import typing
+import time
 
-from workbench import BIG, TEAM, Cell, configuration, queue, step
+import msgspec
+from workbench import BIG, TEAM, Cell, configuration, queue, run, step
 
 from cassiahold.core.ids import QueueName, WorkerId
 from cassiahold.core.resources import Resources
 from cassiahold.core.testing import function_tests
 from cassiahold.workflows.advising import Advice, AdviceBook
-from cassiahold.workflows.planning import Plan, Planner
+from cassiahold.workflows.planning import Conditions, Plan, Planner
 
 
 def plan(
     cell: Cell,
     advice: AdviceBook | None = None,
     now: float = 0.0,
-    **unusable: typing.Any,
+    unusable: frozenset[WorkerId] = frozenset(),
+    speeds: dict[str, float] | None = None,
 ) -> Plan:
     usable = {
-        worker: worker not in unusable.get('unusable', ())
+        worker: (speeds or {}).get(worker, 1.0)
         for worker in cell.state.worker_by_id
+        if worker not in unusable
     }
-    return Planner(
-        cell.state, advice or AdviceBook(), usable, now, now
-    ).plan()
+    conditions = Conditions(usable, now, now)
+    return Planner(cell.state, advice or AdviceBook()).plan(conditions)
 
 
 def test_a_burst_of_urgent_work_goes_before_older_batch_work() -> None:
@@ -83,7 +85,7 @@
 def test_unusable_workers_get_nothing() -> None:
     cell = Cell('w', 'x')
     cell.submit('j', step(8))
-    groups = plan(cell, unusable={WorkerId('w')}).groups
+    groups = plan(cell, unusable=frozenset((WorkerId('w'),))).groups
     assert {group[0].worker for group in groups} == {'x'}
 
 
@@ -135,9 +137,7 @@
 
 
 def test_small_work_does_not_starve_a_waiting_gang() -> None:
-    settings = configuration(
-        queue('gangs', 1, advised=True), queue('small', 2)
-    )
+    settings = configuration(queue('gangs', 1, advised=True), queue('small', 2))
     cell = Cell('w', 'x', config=settings)
     cell.submit('gang', step(9, is_gang=True), queue='gangs')
     cell.submit('small', step(8), queue='small')
@@ -162,4 +162,31 @@
     assert not cell.state.usage_of(TEAM).cores_m
 
 
+def test_fast_workers_are_left_for_work_with_little_slack() -> None:
+    tight = msgspec.structs.replace(queue('tight', 0), slack=1.5)
+    loose = msgspec.structs.replace(queue('loose', 2), slack=4.0)
+    cell = Cell('fast', 'slow', config=configuration(tight, loose))
+    cell.submit('batch', step(1), queue='loose')
+    cell.submit('live', step(1), queue='tight')
+    groups = plan(cell, speeds={'fast': 1.25, 'slow': 0.5}).groups
+    placed = {group[0].run.task.step.job: group[0].worker for group in groups}
+    assert placed == {'live': 'fast', 'batch': 'slow'}
+
+
+def test_a_pass_over_a_full_cell_is_cheap() -> None:
+    cell = Cell(*(f'w{number}' for number in range(24)))
+    for number in range(24):
+        cell.submit(f'full{number}', step(1, resources=BIG))
+    cell.start(*((run(f'full{n}', 0, 0), f'w{n}') for n in range(24)))
+    for number in range(400):
+        cell.submit(f'j{number}', step(30))
+    planner = Planner(cell.state, AdviceBook())
+    usable = dict.fromkeys(cell.state.worker_by_id, 1.0)
+    began = time.process_time()
+    for _ in range(10):
+        assert not planner.plan(Conditions(usable, 0.0, 0.0)).groups
+    # A tenth of a core at fifty passes a second.
+    assert (time.process_time() - began) / 10 < 0.1 / 50 * 10
+
+
 load_tests = function_tests(globals())
--- a/libs/workflows/tests/workbench.py
+++ b/libs/workflows/tests/workbench.py
@@ -80,9 +80,7 @@
 
     def __init__(self, *names: str, config: CellConfiguration | None = None):
         self.state = WorkState()
-        self.do(
-            commands.PutConfiguration(config or configuration(), b'source')
-        )
+        self.do(commands.PutConfiguration(config or configuration(), b'source'))
         for name in names:
             self.do(commands.PutWorker(worker(name)))
         self.state.drain_effects()
@@ -99,16 +97,12 @@
         )
 
     def start(self, *starts: tuple[RunKey, str], born: int = 1) -> int:
-        group = [
-            commands.Start(run, WorkerId(on), born) for run, on in starts
-        ]
+        group = [commands.Start(run, WorkerId(on), born) for run, on in starts]
         return self.do(commands.StartRuns(1, [group]))
 
     def end(self, key: RunKey, on: str, how: RunEnd, saved: str = '') -> None:
         self.do(
-            commands.EndRuns(
-                [commands.End(key, WorkerId(on), how, saved)], 1.0
-            )
+            commands.EndRuns([commands.End(key, WorkerId(on), how, saved)], 1.0)
         )
 
     def job(self, name: str) -> typing.Any:
--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -19,10 +19,11 @@
 from cassiahold.workflows.advising import AdviceBook
 from cassiahold.workflows.configuration import QueuePolicy
 from cassiahold.workflows.model import JobRecord
-from cassiahold.workflows.planning import Planner
+from cassiahold.workflows.planning import Conditions, Planner
 from cassiahold.workflows.state import AcceptOutcome, WorkState
 
 PLAN_INTERVAL_S: typing.Final = 0.05  # at least this often while work waits
+PLAN_PAUSE_S: typing.Final = 0.008  # between passes, however much changes
 PRUNE_INTERVAL_S: typing.Final = 5.0
 NO_TEAM: typing.Final = TeamName('')
 
@@ -33,6 +34,7 @@
     term: int
     board: WorkerBoard
     advice: AdviceBook
+    planner: Planner
     planned_at: float = 0.0
     pruned_at: float = 0.0
     is_changed: bool = True
@@ -78,7 +80,9 @@
         board = WorkerBoard(
             self.state, self._settings, self._outlet, advice, term
         )
-        self._leading = _Leading(term, board, advice)
+        self._leading = _Leading(
+            term, board, advice, Planner(self.state, advice)
+        )
         board.open_all(now)
 
     def follow(self) -> None:
@@ -94,8 +98,9 @@
         if now >= leading.pruned_at + PRUNE_INTERVAL_S:
             leading.pruned_at = now
             found.extend(self._prune())
-        due = leading.planned_at + PLAN_INTERVAL_S
-        if leading.is_changed or now >= due:
+        since_s = now - leading.planned_at
+        pause_s = PLAN_PAUSE_S if leading.is_changed else PLAN_INTERVAL_S
+        if since_s >= pause_s:
             leading.planned_at = now
             leading.is_changed = False
             found.extend(self._plan(leading, now))
@@ -127,14 +132,9 @@
         return self._leading
 
     def _plan(self, leading: _Leading, now: float) -> list[commands.Command]:
-        planner = Planner(
-            self.state,
-            leading.advice,
-            leading.board.usable(now),
-            now,
-            time.time(),
+        plan = leading.planner.plan(
+            Conditions(leading.board.usable(now), now, time.time())
         )
-        plan = planner.plan()
         for question in plan.questions:
             leading.advice.asked(question.step)
             self._outlet.ask_advisor(question)
--- a/programs/cell/src/cassiahold/cell/workers.py
+++ b/programs/cell/src/cassiahold/cell/workers.py
@@ -21,6 +21,7 @@
 from cassiahold.core.ids import WorkerId
 from cassiahold.workflows import commands
 from cassiahold.workflows.advising import AdviceBook
+from cassiahold.workflows.health import HealthBook
 from cassiahold.workflows.model import RunEnd, RunKey, WorkerInfo
 from cassiahold.workflows.planning import Question
 from cassiahold.workflows.sessions import Findings, WorkerSession
@@ -73,6 +74,7 @@
         self._left_by_worker: dict[WorkerId, float] = {}
         self._stopping: set[RunKey] = set()
         self._saved_by_run: dict[RunKey, str] = {}
+        self._health = HealthBook()
 
     def open_all(self, now: float) -> None:
         """Open a session with every known worker."""
@@ -83,12 +85,14 @@
         """End every session; their threads end at their next report."""
         self._session_by_worker.clear()
 
-    def usable(self, now: float) -> dict[WorkerId, bool]:
-        """Return which workers may get new work."""
+    def usable(self, now: float) -> dict[WorkerId, float]:
+        """Return the workers that may get new work, with their speed."""
         return {
-            worker_id: session.is_usable(now)
-            and worker_id not in self._left_by_worker
+            worker_id: self._health.speed_of(worker_id)
             for worker_id, session in self._session_by_worker.items()
+            if session.is_usable(now)
+            and worker_id not in self._left_by_worker
+            and not self._health.is_resting(worker_id, now)
         }
 
     def due(self, now: float) -> list[commands.Command]:
@@ -236,6 +240,7 @@
         for row in view.running:
             if row.saved:
                 self._saved_by_run[row.run] = row.saved
+            self._health.progressed(session.info.id, row.run, row.percent, now)
         findings = session.on_view(view, worker.runs, request.sent_at, now)
         if not was_fenced:
             logs.info(
@@ -248,6 +253,7 @@
         for run in findings.strays:
             self._send_stop(run, session.info.id, 'not_expected')
         self._stop_unwanted(session, worker.runs)
+        self._stop_stalled(session, worker.runs, now)
         if not findings.ends:
             session.last_seen = findings.newest_end
             return self._look(session, now)
@@ -270,6 +276,7 @@
     ) -> LookOrder:
         for end in findings.ends:
             self._stopping.discard(end.run)
+            self._learn_from(end)
             self._saved_by_run.pop(end.run, None)
             logs.info(
                 'run_ended',
@@ -283,6 +290,14 @@
         session.last_seen = findings.newest_end
         return self._look(session, steady())
 
+    def _learn_from(self, end: commands.End) -> None:
+        record = self._state.job_by_id.get(end.run.task.step.job)
+        expected_s = 0.0
+        if record is not None and not end.saved:
+            spec = record.spec.steps[end.run.task.step.step]
+            expected_s = spec.expected_s
+        self._health.ended(end.worker, end.run, end.how, expected_s, steady())
+
     def _stop_unwanted(
         self, session: WorkerSession, runs: typing.Iterable[RunKey]
     ) -> None:
@@ -290,6 +305,16 @@
             if not self._state.is_wanted(run):
                 self._send_stop(run, session.info.id, 'job_over')
 
+    def _stop_stalled(
+        self, session: WorkerSession, runs: typing.Iterable[RunKey], now: float
+    ) -> None:
+        for run in list(runs):
+            spec = self._state.spec_of(run.task.step)
+            if spec.is_lasting or not self._health.is_stalled(run, now):
+                continue
+            self._health.blame_stall(session.info.id, now)
+            self._send_stop(run, session.info.id, 'stalled')
+
     def _look(
         self, session: WorkerSession, now: float, wait_s: float = LOOK_WAIT_S
     ) -> LookOrder:
