Keep spread and limits of teams when passes overtake the log

Room was checked when a start is applied, spread and a team's limit were not. Change: the state checks both; a pass waits until the starts before it are applied. The test fails before (a third start on the same worker). Elections after 0.8 s of silence instead of 1.0 s.

--- a/libs/core/src/cassiahold/core/resources.py
+++ b/libs/core/src/cassiahold/core/resources.py
@@ -73,3 +73,15 @@
 
 
 NOTHING: typing.Final = Resources()
+
+
+def is_under(used: Resources, limit: Resources) -> bool:
+    """Tell whether an amount keeps a limit in which 0 means none."""
+    return all(
+        not most or amount <= most
+        for amount, most in (
+            (used.cores_m, limit.cores_m),
+            (used.memory_mb, limit.memory_mb),
+            (used.accelerators, limit.accelerators),
+        )
+    )
--- a/libs/workflows/src/cassiahold/workflows/model.py
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -196,6 +196,10 @@
         """Return the room that is surely not in use."""
         return self.info.capacity - self.reserved
 
+    def tasks_of(self, step: StepKey) -> int:
+        """Return how many tasks of a step may be running here."""
+        return sum(run.task.step == step for run in self.runs)
+
 
 def new_job(
     job: JobId,
--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -30,6 +30,7 @@
     StepSpec,
     TaskKey,
     WorkerInfo,
+    WorkerRecord,
 )
 from cassiahold.workflows.state import WorkState, startable_tasks
 
@@ -38,7 +39,7 @@
 
 SPEED_STEP: typing.Final = 0.25  # speeds this close count as equal
 SLACK_NEEDED: typing.Final = 1.2  # of the estimate, with starting and noticing
-UNLIMITED: typing.Final = 1 << 40
+UNLIMITED: typing.Final = 1_000_000_000_000
 
 
 class Standing(enum.IntEnum):
@@ -65,16 +66,15 @@
 
 
 class _Room(msgspec.Struct):
+    worker: WorkerRecord
     info: WorkerInfo
     free: Resources
     speed: float
-    runs: typing.Mapping[RunKey, Resources]
     taken_by_step: dict[StepKey, int] = msgspec.field(default_factory=dict)
 
     def tasks_of(self, step: StepKey) -> int:
         """Return how many tasks of a step run or will run here."""
-        running = sum(run.task.step == step for run in self.runs)
-        return running + self.taken_by_step.get(step, 0)
+        return self.worker.tasks_of(step) + self.taken_by_step.get(step, 0)
 
 
 class _Candidate(msgspec.Struct, frozen=True):
@@ -175,10 +175,10 @@
         self._candidates = candidates
         self._rooms = [
             _Room(
+                worker,
                 worker.info,
                 worker.free,
                 conditions.speed_by_worker[worker.info.id],
-                worker.runs,
             )
             for worker in state.worker_by_id.values()
             if worker.info.id in conditions.speed_by_worker
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -4,6 +4,7 @@
 that starts it until the command that records its end.
 """
 
+import collections
 import functools
 import typing
 
@@ -11,7 +12,7 @@
 
 from cassiahold.core.exceptions import ErrorKind
 from cassiahold.core.ids import JobId, QueueName, TeamName, WorkerId
-from cassiahold.core.resources import NOTHING, Resources
+from cassiahold.core.resources import NOTHING, Resources, is_under
 from cassiahold.workflows import commands
 from cassiahold.workflows.configuration import (
     CellConfiguration,
@@ -63,6 +64,19 @@
 _decode = msgspec.msgpack.Decoder(_Saved).decode
 
 
+def _keeps_spread(group: list[commands.Start], kept: _Kept) -> bool:
+    step = group[0].run.task.step
+    most = kept.job_by_id[step.job].spec.steps[step.step].most_per_worker
+    if not most:
+        return True
+    count_by_worker = collections.Counter(start.worker for start in group)
+    for worker_id in count_by_worker:
+        worker = kept.worker_by_id.get(worker_id)
+        if worker is not None:
+            count_by_worker[worker_id] += worker.tasks_of(step)
+    return max(count_by_worker.values()) <= most
+
+
 class WorkState:
     """Applies commands in log order."""
 
@@ -307,6 +321,8 @@
 
     def _may_start(self, group: list[commands.Start]) -> bool:
         wanted_by_worker: dict[WorkerId, Resources] = {}
+        if not self._keeps_limit(group) or not _keeps_spread(group, self._kept):
+            return False
         for start in group:
             worker = self._kept.worker_by_id.get(start.worker)
             record = self._kept.job_by_id.get(start.run.task.step.job)
@@ -321,6 +337,17 @@
                 return False
         return True
 
+    def _keeps_limit(self, group: list[commands.Start]) -> bool:
+        record = self._kept.job_by_id.get(group[0].run.task.step.job)
+        if record is None:
+            return False
+        team = self.index.team_by_name.get(record.team)
+        if team is None:
+            return True
+        resources = self.spec_of(group[0].run.task.step).resources
+        used = self.usage_of(team.name) + resources * len(group)
+        return is_under(used, team.limit)
+
     def _start_one(self, start: commands.Start, term: int) -> None:
         key = start.run.task.step
         record = self._kept.job_by_id[key.job]
--- a/libs/workflows/tests/test_state.py
+++ b/libs/workflows/tests/test_state.py
@@ -88,6 +88,18 @@
     assert cell.state.worker_by_id[WorkerId('w')].reserved == CORES
 
 
+def test_starts_decided_before_earlier_ones_were_applied_keep_bounds() -> None:
+    limit = CORES + CORES
+    cell = Cell('w', 'x', config=configuration(limit=limit))
+    cell.submit('j', step(3, most_per_worker=1))
+    assert cell.start((run('j', 0, 0), 'w')) == 1
+    # Two passes may follow each other before the first is in the log.
+    assert cell.start((run('j', 0, 1), 'w')) == 0
+    assert cell.start((run('j', 0, 1), 'x')) == 1
+    cell.submit('k', step(1))
+    assert cell.start((run('k', 0, 0), 'w')) == 0
+
+
 def test_a_lost_member_stops_the_others_and_the_gang_waits_for_them() -> None:
     cell = Cell('w')
     cell.submit('j', step(2, is_gang=True))
--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -38,6 +38,8 @@
     planned_at: float = 0.0
     pruned_at: float = 0.0
     is_changed: bool = True
+    # Starts that are proposed but not applied are not in the state yet.
+    starting: bytes = b''
 
 
 class CellService:
@@ -61,6 +63,8 @@
         leading = self._leading
         if leading is not None:
             leading.is_changed = True
+            if payload == leading.starting:
+                leading.starting = b''
             for effect in effects:
                 leading.board.follow(effect, steady())
         return outcome
@@ -100,7 +104,7 @@
             found.extend(self._prune())
         since_s = now - leading.planned_at
         pause_s = PLAN_PAUSE_S if leading.is_changed else PLAN_INTERVAL_S
-        if since_s >= pause_s:
+        if since_s >= pause_s and not leading.starting:
             leading.planned_at = now
             leading.is_changed = False
             found.extend(self._plan(leading, now))
@@ -140,7 +144,9 @@
             self._outlet.ask_advisor(question)
         if not plan.groups:
             return []
-        return [commands.StartRuns(leading.term, plan.groups)]
+        command = commands.StartRuns(leading.term, plan.groups)
+        leading.starting = commands.encode_command(command)
+        return [command]
 
     def _prune(self) -> list[commands.Command]:
         before = time.time() - self._settings.keep_finished_s
--- a/programs/cell/src/cassiahold/cell/settings.py
+++ b/programs/cell/src/cassiahold/cell/settings.py
@@ -10,8 +10,8 @@
 
 GROUP: typing.Final = GroupName('cell')
 
-HEARTBEAT_S: typing.Final = 0.25
-ELECTION_S: typing.Final = 1.0
+HEARTBEAT_S: typing.Final = 0.2
+ELECTION_S: typing.Final = 0.8
 SNAPSHOT_RECORDS: typing.Final = 20_000
 SNAPSHOT_BYTES: typing.Final = 16_777_216  # 16 MiB
 CALL_THREADS: typing.Final = 32
