Withdraw unanswered starts until a worker confirms; prefer fast workers

The workers came back within their lease; the runs were neither there nor withdrawn, so their tasks waited for ever. Change: every look that misses such a run repeats the stop until it is confirmed; the next look then gives the task back.

--- a/libs/workflows/src/cassiahold/workflows/advising.py
+++ b/libs/workflows/src/cassiahold/workflows/advising.py
@@ -13,10 +13,12 @@
 import msgspec
 
 from cassiahold.core.ids import QueueName, WorkerId
+from cassiahold.workflows.configuration import QueuePolicy
 from cassiahold.workflows.model import StepKey, WorkerInfo
 
 MAX_NAMED: typing.Final = 100
 SPARE_NAMED: typing.Final = 2
+CHOICE_SHARE: typing.Final = 0.2  # of a call's fixed time, for a choice
 TICKET_MARGIN_S: typing.Final = 0.25  # a start takes this long at most
 _FIRST_SHARE: typing.Final = 0.5
 _SHARE_GAIN: typing.Final = 0.1
@@ -134,10 +136,18 @@
         """Forget a step that starts no more tasks."""
         self._advice_by_step.pop(step, None)
 
-    def how_many(self, queue: QueueName, workers_needed: int) -> int:
-        """Return how many unknown workers a call should name."""
-        share = max(self.share_of(queue), _LEAST_SHARE)
+    def how_many(self, queue: QueuePolicy, workers_needed: int) -> int:
+        """Return how many unknown workers a call should name.
+
+        Naming more than needed gives a choice; it is worth a part of the
+        time that a call takes anyway.
+        """
+        share = max(self.share_of(queue.name), _LEAST_SHARE)
         wanted = math.ceil(workers_needed / share) + SPARE_NAMED
+        advisor = queue.advisor
+        if advisor is not None and advisor.per_worker_s > 0:
+            spent_s = advisor.decision_s * CHOICE_SHARE
+            wanted = max(wanted, int(spent_s / advisor.per_worker_s))
         return min(wanted, MAX_NAMED)
 
     def _learn(self, queue: QueueName, share: float) -> None:
--- a/libs/workflows/src/cassiahold/workflows/health.py
+++ b/libs/workflows/src/cassiahold/workflows/health.py
@@ -53,6 +53,10 @@
         health = self._health_by_worker.get(worker)
         return health is not None and now < health.rest_until
 
+    def began(self, worker: WorkerId, run: RunKey, now: float) -> None:
+        """Take a worker's word that a run has started."""
+        self._progress_by_run.setdefault(run, _Progress(worker, now, 0, now))
+
     def progressed(
         self, worker: WorkerId, run: RunKey, percent: int, now: float
     ) -> None:
@@ -82,19 +86,20 @@
         how: RunEnd,
         expected_s: float,
         now: float,
-    ) -> None:
-        """Take the end of a run."""
+    ) -> float:
+        """Take the end of a run; return for how long it was seen."""
         known = self._progress_by_run.pop(run, None)
+        took_s = 0.0 if known is None else now - known.began_at
         health = self._of(worker)
         if how is RunEnd.DONE:
             health.failed_jobs.clear()
             health.rest_s = FIRST_REST_S
-            if known is not None:
-                _learn(health, expected_s, now - known.began_at)
+            _learn(health, expected_s, took_s)
         elif how is RunEnd.FAILED:
             health.failed_jobs.add(run.task.step.job)
             if len(health.failed_jobs) >= SUSPECT_JOBS:
                 self._rest(health, now)
+        return took_s
 
     def forget(self, worker: WorkerId) -> None:
         """Forget a worker that is gone."""
--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -39,6 +39,7 @@
 
 SPEED_STEP: typing.Final = 0.25  # speeds this close count as equal
 SLACK_NEEDED: typing.Final = 1.2  # of the estimate, with starting and noticing
+TIGHT_SLACK: typing.Final = 2.0
 UNLIMITED: typing.Final = 1_000_000_000_000
 
 
@@ -335,7 +336,7 @@
                 self._capacity_of(candidate, unknown) / len(unknown), 1
             )
             needed = math.ceil(left / typical)
-            count = self._advice.how_many(candidate.queue.name, needed)
+            count = self._advice.how_many(candidate.queue, needed)
             allowed.extend(unknown[:count])
         elif left > 0 and candidate.spec.is_gang:
             return []
@@ -366,8 +367,9 @@
     is_far = bool(near) and near != room.info.rack
     speed = round(room.speed / SPEED_STEP) * SPEED_STEP
     is_slow = speed * candidate.queue.slack < SLACK_NEEDED
-    # Of the workers that are too slow the fastest goes first.
-    order = -speed if is_slow else speed
+    # Estimates are rough: with little slack the fastest goes first.
+    is_tight = candidate.queue.slack < TIGHT_SLACK
+    order = -speed if is_slow or is_tight else speed
     return is_far, is_slow, order, room.free.cores_m
 
 
--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -46,15 +46,21 @@
 
 
 class Findings(msgspec.Struct):
-    """What a look tells: ends to record and runs that must be stopped."""
+    """What a look tells: ends to record and runs that must be stopped.
+
+    ``missing`` are runs whose start got no answer and that are not there:
+    a late order may still start them until a stop is confirmed.
+    """
 
     ends: list[End] = msgspec.field(default_factory=list)
     strays: list[RunKey] = msgspec.field(default_factory=list)
+    missing: list[RunKey] = msgspec.field(default_factory=list)
     newest_end: int = 0
 
 
 class _Order(msgspec.Struct):
     answered_at: float | None = None
+    is_unanswered: bool = False
     withdrawn_at: float | None = None
 
 
@@ -136,6 +142,12 @@
         if order is not None:
             order.answered_at = now
 
+    def unanswered(self, run: RunKey) -> None:
+        """Record that no try of a start was answered."""
+        order = self._order_by_run.get(run)
+        if order is not None:
+            order.is_unanswered = True
+
     def withdrawn(self, run: RunKey, now: float) -> None:
         """Record that the worker confirmed a stop; no late start follows."""
         order = self._order_by_run.setdefault(run, _Order())
@@ -165,13 +177,23 @@
             row = ended.get(run)
             if row is not None:
                 findings.ends.append(self._end(run, row.how, row.saved))
-            elif run not in running and self._is_settled(run, first, sent_at):
-                findings.ends.append(self._end(run, RunEnd.LOST, ''))
+            elif run not in running:
+                self._settle_absent(run, first, sent_at, findings)
         findings.strays.extend(running - wanted)
         for ending in findings.ends:
             self._order_by_run.pop(ending.run, None)
         return findings
 
+    def _settle_absent(
+        self, run: RunKey, first: bool, sent_at: float, findings: Findings
+    ) -> None:
+        if self._is_settled(run, first, sent_at):
+            findings.ends.append(self._end(run, RunEnd.LOST, ''))
+            return
+        order = self._order_by_run.get(run)
+        if order and order.is_unanswered and order.withdrawn_at is None:
+            findings.missing.append(run)
+
     def _is_settled(self, run: RunKey, first: bool, sent_at: float) -> bool:
         order = self._order_by_run.get(run)
         if order is None:
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -66,7 +66,8 @@
 
 def _keeps_spread(group: list[commands.Start], kept: _Kept) -> bool:
     step = group[0].run.task.step
-    most = kept.job_by_id[step.job].spec.steps[step.step].most_per_worker
+    record = kept.job_by_id[step.job]
+    most = record.spec.steps[step.step].most_per_worker
     if not most:
         return True
     count_by_worker = collections.Counter(start.worker for start in group)
--- a/libs/workflows/tests/test_sessions.py
+++ b/libs/workflows/tests/test_sessions.py
@@ -61,6 +61,22 @@
     assert not known.on_view(view(late), (late,), 1.2, 1.3).ends
 
 
+def test_an_unanswered_start_is_withdrawn_until_that_is_answered() -> None:
+    known = session()
+    known.on_view(view(), (), 0.0, 0.1)
+    late = run('j', 0, 0)
+    known.order(late)
+    assert not known.on_view(view(), (late,), 0.5, 0.6).missing
+    known.unanswered(late)
+    # Neither the start nor the first stop reached the worker.
+    for sent_at in (1.0, 9.0):
+        findings = known.on_view(view(), (late,), sent_at, sent_at + 0.1)
+        assert findings.missing == [late]
+    known.withdrawn(late, 10.0)
+    assert not known.on_view(view(), (late,), 9.9, 10.1).missing
+    assert known.on_view(view(), (late,), 10.2, 10.3).ends
+
+
 def test_listed_ends_are_reported_and_strays_are_stopped() -> None:
     known = session()
     done, stray = run('j', 0, 0), run('x', 0, 0)
--- a/libs/workflows/tests/workbench.py
+++ b/libs/workflows/tests/workbench.py
@@ -48,7 +48,7 @@
         attempts=2,
         slack=2.0,
         objective_s=1.0,
-        advisor=AdvisorPolicy(0.1, 0.001, 2.0) if advised else None,
+        advisor=AdvisorPolicy(0.1, 0.02, 2.0) if advised else None,
     )
 
 
--- a/programs/cell/src/cassiahold/cell/workers.py
+++ b/programs/cell/src/cassiahold/cell/workers.py
@@ -252,6 +252,8 @@
             )
         for run in findings.strays:
             self._send_stop(run, session.info.id, 'not_expected')
+        for run in findings.missing:
+            self._send_stop(run, session.info.id, 'unanswered')
         self._stop_unwanted(session, worker.runs)
         self._stop_stalled(session, worker.runs, now)
         if not findings.ends:
@@ -276,7 +278,7 @@
     ) -> LookOrder:
         for end in findings.ends:
             self._stopping.discard(end.run)
-            self._learn_from(end)
+            took_s = self._learn_from(end)
             self._saved_by_run.pop(end.run, None)
             logs.info(
                 'run_ended',
@@ -286,17 +288,21 @@
                 attempt=end.run.attempt,
                 worker=end.worker,
                 how=end.how.value,
+                took_s=took_s,
+                speed=self._health.speed_of(end.worker),
             )
         session.last_seen = findings.newest_end
         return self._look(session, steady())
 
-    def _learn_from(self, end: commands.End) -> None:
+    def _learn_from(self, end: commands.End) -> float:
         record = self._state.job_by_id.get(end.run.task.step.job)
         expected_s = 0.0
         if record is not None and not end.saved:
             spec = record.spec.steps[end.run.task.step.step]
             expected_s = spec.expected_s
-        self._health.ended(end.worker, end.run, end.how, expected_s, steady())
+        return self._health.ended(
+            end.worker, end.run, end.how, expected_s, steady()
+        )
 
     def _stop_unwanted(
         self, session: WorkerSession, runs: typing.Iterable[RunKey]
@@ -344,13 +350,16 @@
             attempt=request.run.attempt,
             worker=request.worker,
             answer='none' if reply is None else reply.answer.value,
+            expected_s=self._state.spec_of(request.run.task.step).expected_s,
         )
         if reply is None:
+            session.unanswered(request.run)
             self._send_stop(request.run, request.worker, 'unanswered')
             return requests.Acknowledged()
         session.note_clock(reply.clock_ms, now)
         if reply.answer is Answer.DONE:
             session.answered(request.run, now)
+            self._health.began(request.worker, request.run, now)
             return requests.Acknowledged()
         return self._refused(session, request.run, reply, now)
 
