--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -25,6 +25,7 @@
 PLAN_INTERVAL_S: typing.Final = 0.05  # at least this often while work waits
 PLAN_PAUSE_S: typing.Final = 0.008  # between passes, however much changes
 PRUNE_INTERVAL_S: typing.Final = 5.0
+_MS: typing.Final = 1000
 NO_TEAM: typing.Final = TeamName('')
 
 
@@ -82,7 +83,12 @@
         self.state.drain_effects()
         advice = AdviceBook()
         board = WorkerBoard(
-            self.state, self._settings, self._outlet, advice, term
+            self.state,
+            self._settings,
+            self._outlet,
+            advice,
+            term,
+            self._metrics,
         )
         self._leading = _Leading(
             term, board, advice, Planner(self.state, advice)
@@ -139,6 +145,8 @@
         plan = leading.planner.plan(
             Conditions(leading.board.usable(now), now, time.time())
         )
+        self._metrics.timing('plan', (steady() - now) * _MS)
+        self._metrics.incr('starts_planned', sum(map(len, plan.groups)))
         for question in plan.questions:
             leading.advice.asked(question.step)
             self._outlet.ask_advisor(question)
@@ -218,6 +226,10 @@
             version=self.state.configuration.version,
         )
         self._metrics.incr(f'accepted.{record.queue}')
+        self._metrics.gauge(
+            f'untouched.{record.queue}',
+            self.state.untouched_jobs(record.queue),
+        )
         return requests.WorkAccepted(outcome.is_first)
 
     def _cancelled(self, job: JobId) -> requests.Acknowledged:
--- a/programs/cell/src/cassiahold/cell/workers.py
+++ b/programs/cell/src/cassiahold/cell/workers.py
@@ -19,6 +19,7 @@
 from cassiahold.core import logs
 from cassiahold.core.clock import steady
 from cassiahold.core.ids import WorkerId
+from cassiahold.core.metrics import Metrics
 from cassiahold.workflows import commands
 from cassiahold.workflows.advising import AdviceBook
 from cassiahold.workflows.health import HealthBook
@@ -28,6 +29,7 @@
 from cassiahold.workflows.state import WorkState
 
 FENCES_PER_TERM: typing.Final = 1_000_000
+_MS: typing.Final = 1000
 LEFT_S: typing.Final = 0.5  # a worker that left has surely ended after this
 
 
@@ -62,12 +64,14 @@
         outlet: Outlet,
         advice: AdviceBook,
         term: int,
+        metrics: Metrics,
     ) -> None:
         self._state = state
         self._settings = settings
         self._outlet = outlet
         self._advice = advice
         self._term = term
+        self._metrics = metrics
         self._fences = 0
         self._session_by_worker: dict[WorkerId, WorkerSession] = {}
         self._beat_by_worker: dict[WorkerId, _Beat] = {}
@@ -279,6 +283,8 @@
         for end in findings.ends:
             self._stopping.discard(end.run)
             took_s = self._learn_from(end)
+            self._metrics.incr(f'run_ended.{end.how.value}')
+            self._metrics.timing('run', took_s * _MS)
             self._saved_by_run.pop(end.run, None)
             logs.info(
                 'run_ended',
@@ -356,6 +362,7 @@
             session.unanswered(request.run)
             self._send_stop(request.run, request.worker, 'unanswered')
             return requests.Acknowledged()
+        self._metrics.incr(f'start.{reply.answer.value}')
         session.note_clock(reply.clock_ms, now)
         if reply.answer is Answer.DONE:
             session.answered(request.run, now)
