--- a/libs/workflows/src/cassiahold/workflows/health.py
+++ b/libs/workflows/src/cassiahold/workflows/health.py
@@ -12,6 +12,7 @@
 from cassiahold.workflows.model import RunEnd, RunKey
 
 SPEED_GAIN: typing.Final = 0.2
+AVOID_S: typing.Final = 3.0  # how long a job keeps off a worker it failed on
 LEAST_SPEED: typing.Final = 0.1
 MOST_SPEED: typing.Final = 4.0
 LEAST_SAMPLE_S: typing.Final = 0.2  # shorter runs say little about speed
@@ -29,6 +30,11 @@
     rest_s: float = FIRST_REST_S
 
 
+class _Place(typing.NamedTuple):
+    job: JobId
+    worker: WorkerId
+
+
 class _Progress(msgspec.Struct):
     worker: WorkerId
     began_at: float
@@ -42,12 +48,23 @@
     def __init__(self) -> None:
         self._health_by_worker: dict[WorkerId, _Health] = {}
         self._progress_by_run: dict[RunKey, _Progress] = {}
+        self._failed_at_by_place: dict[_Place, float] = {}
 
     def speed_of(self, worker: WorkerId) -> float:
         """Return a worker's speed; 1 is what estimates are made for."""
         health = self._health_by_worker.get(worker)
         return 1.0 if health is None else health.speed
 
+    def is_suspect(self, worker: WorkerId) -> bool:
+        """Tell whether the last run that ended on a worker failed."""
+        health = self._health_by_worker.get(worker)
+        return health is not None and bool(health.failed_jobs)
+
+    def avoids(self, job: JobId, worker: WorkerId, now: float) -> bool:
+        """Tell whether a job failed on a worker just now."""
+        at = self._failed_at_by_place.get(_Place(job, worker))
+        return at is not None and now < at + AVOID_S
+
     def is_resting(self, worker: WorkerId, now: float) -> bool:
         """Tell whether a worker is left alone after many failures."""
         health = self._health_by_worker.get(worker)
@@ -96,6 +113,7 @@
             health.rest_s = FIRST_REST_S
             _learn(health, expected_s, took_s)
         elif how is RunEnd.FAILED:
+            self._note_place(_Place(run.task.step.job, worker), now)
             health.failed_jobs.add(run.task.step.job)
             if len(health.failed_jobs) >= SUSPECT_JOBS:
                 self._rest(health, now)
@@ -105,6 +123,16 @@
         """Forget a worker that is gone."""
         self._health_by_worker.pop(worker, None)
 
+    def _note_place(self, place: _Place, now: float) -> None:
+        self._failed_at_by_place[place] = now
+        old = [
+            known
+            for known, at in self._failed_at_by_place.items()
+            if now >= at + AVOID_S
+        ]
+        for known in old:
+            self._failed_at_by_place.pop(known)
+
     def _of(self, worker: WorkerId) -> _Health:
         return self._health_by_worker.setdefault(worker, _Health())
 
--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -23,6 +23,7 @@
 from cassiahold.workflows.advising import AdviceBook
 from cassiahold.workflows.commands import Start
 from cassiahold.workflows.configuration import QueuePolicy
+from cassiahold.workflows.health import HealthBook
 from cassiahold.workflows.model import (
     JobRecord,
     RunKey,
@@ -71,6 +72,7 @@
     info: WorkerInfo
     free: Resources
     speed: float
+    is_suspect: bool
     taken_by_step: dict[StepKey, int] = msgspec.field(default_factory=dict)
 
     def tasks_of(self, step: StepKey) -> int:
@@ -88,12 +90,11 @@
 class Conditions(msgspec.Struct, frozen=True):
     """What a pass is based on beside the replicated state.
 
-    ``speed_by_worker`` holds the workers that may get work, with their
-    speed (1 is the speed that estimates are made for).  ``now`` is on the
-    steady clock, ``time_of_day`` in seconds since 1970.
+    ``usable`` are the workers that may get work.  ``now`` is on the steady
+    clock, ``time_of_day`` in seconds since 1970.
     """
 
-    speed_by_worker: typing.Mapping[WorkerId, float]
+    usable: frozenset[WorkerId]
     now: float
     time_of_day: float
 
@@ -127,15 +128,22 @@
 class Planner:
     """Plans passes over the waiting steps of one state."""
 
-    def __init__(self, state: WorkState, advice: AdviceBook) -> None:
+    def __init__(
+        self, state: WorkState, advice: AdviceBook, health: HealthBook
+    ) -> None:
         self._state = state
         self._advice = advice
+        self._health = health
         self._objective_by_job: dict[JobId, float] = {}
 
     def plan(self, conditions: Conditions) -> Plan:
         """Return starts and questions, the most urgent first."""
         return _Pass(
-            self._state, self._advice, conditions, self._sorted(conditions)
+            self._state,
+            self._advice,
+            self._health,
+            conditions,
+            self._sorted(conditions),
         ).run()
 
     def _sorted(self, conditions: Conditions) -> list[_Candidate]:
@@ -167,11 +175,13 @@
         self,
         state: WorkState,
         advice: AdviceBook,
+        health: HealthBook,
         conditions: Conditions,
         candidates: list[_Candidate],
     ) -> None:
         self._state = state
         self._advice = advice
+        self._health = health
         self._now = conditions.now
         self._candidates = candidates
         self._rooms = [
@@ -179,10 +189,11 @@
                 worker,
                 worker.info,
                 worker.free,
-                conditions.speed_by_worker[worker.info.id],
+                health.speed_of(worker.info.id),
+                health.is_suspect(worker.info.id),
             )
             for worker in state.worker_by_id.values()
-            if worker.info.id in conditions.speed_by_worker
+            if worker.info.id in conditions.usable
         ]
         self._largest = Resources()
         self._added_by_team: dict[TeamName, Resources] = {}
@@ -246,6 +257,8 @@
             return False
         if spec.needs_label and spec.needs_label not in room.info.labels:
             return False
+        if self._health.avoids(candidate.key.job, room.info.id, self._now):
+            return False
         return self._has_room(candidate, room)
 
     def _has_room(self, candidate: _Candidate, room: _Room) -> bool:
@@ -362,7 +375,15 @@
     return tasks[number].attempt + 1
 
 
-def _rank(candidate: _Candidate, room: _Room) -> tuple[bool, bool, float, int]:
+class _Rank(typing.NamedTuple):
+    is_far: bool
+    is_suspect: bool
+    is_slow: bool
+    order: float
+    free: int
+
+
+def _rank(candidate: _Candidate, room: _Room) -> _Rank:
     near = candidate.spec.near_rack
     is_far = bool(near) and near != room.info.rack
     speed = round(room.speed / SPEED_STEP) * SPEED_STEP
@@ -370,12 +391,12 @@
     # Estimates are rough: with little slack the fastest goes first.
     is_tight = candidate.queue.slack < TIGHT_SLACK
     order = -speed if is_slow or is_tight else speed
-    return is_far, is_slow, order, room.free.cores_m
+    return _Rank(is_far, room.is_suspect, is_slow, order, room.free.cores_m)
 
 
-def _breadth(candidate: _Candidate, room: _Room) -> tuple[bool, int]:
+def _breadth(candidate: _Candidate, room: _Room) -> tuple[bool, bool, int]:
     is_slow = room.speed * candidate.queue.slack < SLACK_NEEDED
-    return is_slow, -room.free.cores_m
+    return room.is_suspect, is_slow, -room.free.cores_m
 
 
 def _how_many_fit(wanted: Resources, free: Resources) -> int:
--- a/libs/workflows/tests/test_planning.py
+++ b/libs/workflows/tests/test_planning.py
@@ -9,6 +9,8 @@
 from cassiahold.core.resources import Resources
 from cassiahold.core.testing import function_tests
 from cassiahold.workflows.advising import Advice, AdviceBook
+from cassiahold.workflows.health import HealthBook
+from cassiahold.workflows.model import RunEnd
 from cassiahold.workflows.planning import Conditions, Plan, Planner
 
 
@@ -17,15 +19,23 @@
     advice: AdviceBook | None = None,
     now: float = 0.0,
     unusable: frozenset[WorkerId] = frozenset(),
-    speeds: dict[str, float] | None = None,
+    health: HealthBook | None = None,
 ) -> Plan:
-    usable = {
-        worker: (speeds or {}).get(worker, 1.0)
-        for worker in cell.state.worker_by_id
-        if worker not in unusable
-    }
-    conditions = Conditions(usable, now, now)
-    return Planner(cell.state, advice or AdviceBook()).plan(conditions)
+    usable = frozenset(cell.state.worker_by_id) - unusable
+    planner = Planner(
+        cell.state, advice or AdviceBook(), health or HealthBook()
+    )
+    return planner.plan(Conditions(usable, now, now))
+
+
+def learned(took_s_by_worker: dict[str, float]) -> HealthBook:
+    health = HealthBook()
+    for worker, took_s in took_s_by_worker.items():
+        for number in range(40):
+            known = run(f'past{number}', 0, 0)
+            health.began(WorkerId(worker), known, 0.0)
+            health.ended(WorkerId(worker), known, RunEnd.DONE, 1.0, took_s)
+    return health
 
 
 def test_a_burst_of_urgent_work_goes_before_older_batch_work() -> None:
@@ -168,7 +178,8 @@
     cell = Cell('fast', 'slow', config=configuration(tight, loose))
     cell.submit('batch', step(1), queue='loose')
     cell.submit('live', step(1), queue='tight')
-    groups = plan(cell, speeds={'fast': 1.25, 'slow': 0.5}).groups
+    health = learned({'fast': 0.8, 'slow': 2.0})
+    groups = plan(cell, health=health).groups
     placed = {group[0].run.task.step.job: group[0].worker for group in groups}
     assert placed == {'live': 'fast', 'batch': 'slow'}
 
@@ -180,8 +191,8 @@
     cell.start(*((run(f'full{n}', 0, 0), f'w{n}') for n in range(24)))
     for number in range(400):
         cell.submit(f'j{number}', step(30))
-    planner = Planner(cell.state, AdviceBook())
-    usable = dict.fromkeys(cell.state.worker_by_id, 1.0)
+    planner = Planner(cell.state, AdviceBook(), HealthBook())
+    usable = frozenset(cell.state.worker_by_id)
     began = time.process_time()
     for _ in range(10):
         assert not planner.plan(Conditions(usable, 0.0, 0.0)).groups
@@ -189,4 +200,18 @@
     assert (time.process_time() - began) / 10 < 0.1 / 50 * 10
 
 
+def test_a_retry_keeps_off_the_worker_that_failed_it() -> None:
+    cell = Cell('bad', 'good')
+    cell.submit('j', step(1))
+    cell.start((run('j', 0, 0), 'bad'))
+    cell.end(run('j', 0, 0), 'bad', RunEnd.FAILED)
+    health = HealthBook()
+    health.ended(WorkerId('bad'), run('j', 0, 0), RunEnd.FAILED, 1.0, 0.0)
+    groups = plan(cell, health=health, now=0.1).groups
+    assert [group[0].worker for group in groups] == ['good']
+    only_bad = frozenset((WorkerId('good'),))
+    assert not plan(cell, health=health, now=0.1, unusable=only_bad).groups
+    assert plan(cell, health=health, now=9.0, unusable=only_bad).groups
+
+
 load_tests = function_tests(globals())
--- a/programs/cell/src/cassiahold/cell/calling.py
+++ b/programs/cell/src/cassiahold/cell/calling.py
@@ -124,13 +124,24 @@
         if address == self._own and self._local is not None:
             reply = self._local(request)
         else:
-            reply = self._channel(address).call(GROUP, request, timeout_s)
+            reply = self._remote(address, request, timeout_s)
         if isinstance(reply, Refusal):
             if reply.kind is ErrorKind.NO_QUORUM:
                 self._directory.hint(reply.leader)
             raise CassiaholdError(reply.kind, reply.detail)
         return reply
 
+    def _remote(
+        self, address: str, request: typing.Any, timeout_s: float
+    ) -> typing.Any:
+        try:
+            reply = self._channel(address).call(GROUP, request, timeout_s)
+        except CassiaholdError:
+            self._directory.note_unreachable(address)
+            raise
+        self._directory.note_reached(address)
+        return reply
+
     def locate(self) -> None:
         """Ask the known replicas for their view of the group."""
         for address in self._directory.candidates():
--- a/programs/cell/src/cassiahold/cell/discovery.py
+++ b/programs/cell/src/cassiahold/cell/discovery.py
@@ -19,6 +19,7 @@
         self._members: tuple[str, ...] = ()
         self._leader: str | None = None
         self._term = 0
+        self._unreachable: set[str] = set()
 
     @property
     def leader(self) -> str | None:
@@ -50,7 +51,16 @@
         if self._leader == address:
             self._leader = None
 
+    def note_reached(self, address: str) -> None:
+        """Record that a process answered, whatever it said."""
+        self._unreachable.discard(address)
+
+    def note_unreachable(self, address: str) -> None:
+        """Record that a process did not answer; others are tried first."""
+        self._unreachable.add(address)
+
     def candidates(self) -> list[str]:
         """Return every known address once, the likely leader first."""
         first = () if self._leader is None else (self._leader,)
-        return list(dict.fromkeys((*first, *self._members, *self._seeds)))
+        known = dict.fromkeys((*first, *self._members, *self._seeds))
+        return sorted(known, key=self._unreachable.__contains__)
--- a/programs/cell/src/cassiahold/cell/node.py
+++ b/programs/cell/src/cassiahold/cell/node.py
@@ -44,7 +44,8 @@
 REPLY_TIMEOUT_S: typing.Final = 5.0
 TICKS_PER_HEARTBEAT: typing.Final = 5
 JOIN_INTERVAL_S: typing.Final = 0.5
-HELP_INTERVAL_S: typing.Final = 1.0
+TOUCH_INTERVAL_S: typing.Final = 1.0
+TOUCH_RETRY_S: typing.Final = 0.1
 
 
 class CellNode:
@@ -163,7 +164,10 @@
         leader = self._inspect().leader
         if leader != self._own:
             raise NotLeaderError(leader)
-        if self._threads is not None and address != self._settings.address:
+        if self._threads is not None and address not in {
+            '',
+            self._settings.address,
+        }:
             self._threads.lanes.offer(address)
         return requests.Acknowledged()
 
@@ -233,9 +237,7 @@
         self._stack.callback(self.caller.close)
         self._stack.callback(self._close_couriers)
         self.caller.start()
-        targets: list[typing.Callable[[], None]] = []
-        if self._advisor is not None:
-            targets.append(self._keep_helping)
+        targets = [self._keep_in_touch]
         if self._replica is not None:
             targets.extend((self._tick, self._keep_joining))
         for target in targets:
@@ -264,12 +266,17 @@
             return
         self.caller.ask(requests.AskJoin(self._own), JOIN_INTERVAL_S)
 
-    def _keep_helping(self) -> None:
-        request = requests.OfferHelp(self._settings.address)
-        while not self._stopped.wait(HELP_INTERVAL_S):
-            with contextlib.suppress(CassiaholdError):
-                # The leader may be this process or not known yet.
-                self.caller.ask(request, HELP_INTERVAL_S)
+    def _keep_in_touch(self) -> None:
+        address = '' if self._advisor is None else self._settings.address
+        request = requests.OfferHelp(address)
+        pause_s = TOUCH_INTERVAL_S
+        while not self._stopped.wait(pause_s):
+            pause_s = TOUCH_INTERVAL_S
+            try:
+                self.caller.ask(request, TOUCH_INTERVAL_S)
+            except CassiaholdError:
+                # Logged by the caller; the leader is looked for more often.
+                pause_s = TOUCH_RETRY_S
 
     # Agreement messages.
 
--- a/programs/cell/src/cassiahold/cell/requests.py
+++ b/programs/cell/src/cassiahold/cell/requests.py
@@ -77,7 +77,10 @@
 
 
 class OfferHelp(msgspec.Struct, frozen=True, tag='help'):
-    """Tells the leader of a process that can call advisors for it."""
+    """Tells the leader of a process that can call advisors for it.
+
+    ``address`` is empty when the process has no advisor.
+    """
 
     address: str
 
--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -91,7 +91,7 @@
             self._metrics,
         )
         self._leading = _Leading(
-            term, board, advice, Planner(self.state, advice)
+            term, board, advice, Planner(self.state, advice, board.health)
         )
         board.open_all(now)
 
--- a/programs/cell/src/cassiahold/cell/settings.py
+++ b/programs/cell/src/cassiahold/cell/settings.py
@@ -11,7 +11,7 @@
 GROUP: typing.Final = GroupName('cell')
 
 HEARTBEAT_S: typing.Final = 0.2
-ELECTION_S: typing.Final = 0.8
+ELECTION_S: typing.Final = 0.7
 SNAPSHOT_RECORDS: typing.Final = 20_000
 SNAPSHOT_BYTES: typing.Final = 16_777_216  # 16 MiB
 CALL_THREADS: typing.Final = 32
--- a/programs/cell/src/cassiahold/cell/workers.py
+++ b/programs/cell/src/cassiahold/cell/workers.py
@@ -78,7 +78,7 @@
         self._left_by_worker: dict[WorkerId, float] = {}
         self._stopping: set[RunKey] = set()
         self._saved_by_run: dict[RunKey, str] = {}
-        self._health = HealthBook()
+        self.health = HealthBook()
 
     def open_all(self, now: float) -> None:
         """Open a session with every known worker."""
@@ -89,15 +89,15 @@
         """End every session; their threads end at their next report."""
         self._session_by_worker.clear()
 
-    def usable(self, now: float) -> dict[WorkerId, float]:
-        """Return the workers that may get new work, with their speed."""
-        return {
-            worker_id: self._health.speed_of(worker_id)
+    def usable(self, now: float) -> frozenset[WorkerId]:
+        """Return the workers that may get new work."""
+        return frozenset(
+            worker_id
             for worker_id, session in self._session_by_worker.items()
             if session.is_usable(now)
             and worker_id not in self._left_by_worker
-            and not self._health.is_resting(worker_id, now)
-        }
+            and not self.health.is_resting(worker_id, now)
+        )
 
     def due(self, now: float) -> list[commands.Command]:
         """Return the removal of workers that surely run nothing any more."""
@@ -244,7 +244,7 @@
         for row in view.running:
             if row.saved:
                 self._saved_by_run[row.run] = row.saved
-            self._health.progressed(session.info.id, row.run, row.percent, now)
+            self.health.progressed(session.info.id, row.run, row.percent, now)
         findings = session.on_view(view, worker.runs, request.sent_at, now)
         if not was_fenced:
             logs.info(
@@ -295,7 +295,7 @@
                 worker=end.worker,
                 how=end.how.value,
                 took_s=took_s,
-                speed=self._health.speed_of(end.worker),
+                speed=self.health.speed_of(end.worker),
             )
         session.last_seen = findings.newest_end
         return self._look(session, steady())
@@ -306,7 +306,7 @@
         if record is not None and not end.saved:
             spec = record.spec.steps[end.run.task.step.step]
             expected_s = spec.expected_s
-        return self._health.ended(
+        return self.health.ended(
             end.worker, end.run, end.how, expected_s, steady()
         )
 
@@ -322,9 +322,9 @@
     ) -> None:
         for run in list(runs):
             spec = self._state.spec_of(run.task.step)
-            if spec.is_lasting or not self._health.is_stalled(run, now):
+            if spec.is_lasting or not self.health.is_stalled(run, now):
                 continue
-            self._health.blame_stall(session.info.id, now)
+            self.health.blame_stall(session.info.id, now)
             self._send_stop(run, session.info.id, 'stalled')
 
     def _look(
@@ -366,7 +366,7 @@
         session.note_clock(reply.clock_ms, now)
         if reply.answer is Answer.DONE:
             session.answered(request.run, now)
-            self._health.began(request.worker, request.run, now)
+            self.health.began(request.worker, request.run, now)
             return requests.Acknowledged()
         return self._refused(session, request.run, reply, now)
 
