--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,13 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := $(patsubst %/pyproject.toml,%,$(wildcard */*/pyproject.toml))
+PACKAGES := $(patsubst %/pyproject.toml,%,$(wildcard */*/pyproject.toml platform/pyproject.toml))
 
 .PHONY: demo test lint setup bench capacity soak model clean
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: requirements-dev.txt $(wildcard */*/pyproject.toml)
+$(VENV)/.ready: requirements.txt requirements-dev.txt $(wildcard */*/pyproject.toml platform/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements-dev.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(foreach package,$(PACKAGES),--editable ./$(package))
@@ -20,7 +20,7 @@
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
 	$(BIN)/flake8 .
-	$(BIN)/mypy $(wildcard */*/src/cassiahold/*)
+	$(BIN)/mypy $(wildcard */*/src/cassiahold/* platform/src/cassiahold/*)
 
 demo: setup
 	$(BIN)/python -m cassiahold.bench.demo.main
--- a/libs/core/src/cassiahold/core/testing.py
+++ b/libs/core/src/cassiahold/core/testing.py
@@ -47,7 +47,8 @@
     logging.set_verbosity(logging.FATAL)
     loader = unittest.TestLoader()
     suite = unittest.TestSuite()
-    for folder in sorted(root.glob('*/*/tests')):
+    folders = [*root.glob('*/*/tests'), *root.glob('*/tests')]
+    for folder in sorted(folders):
         sys.path.insert(0, str(folder))
         suite.addTests(loader.discover(str(folder), top_level_dir=str(folder)))
         sys.path.remove(str(folder))
--- a/programs/cell/src/cassiahold/cell/discovery.py
+++ b/programs/cell/src/cassiahold/cell/discovery.py
@@ -61,6 +61,9 @@
 
     def candidates(self) -> list[str]:
         """Return every known address once, the likely leader first."""
-        first = () if self._leader is None else (self._leader,)
-        known = dict.fromkeys((*first, *self._members, *self._seeds))
-        return sorted(known, key=self._unreachable.__contains__)
+        known = dict.fromkeys((*self._members, *self._seeds))
+        others = sorted(known, key=self._unreachable.__contains__)
+        if self._leader is None:
+            return others
+        # Others name it, so it is tried even if it did not answer before.
+        return list(dict.fromkeys((self._leader, *others)))
--- a/programs/cell/tests/test_discovery.py
+++ b/programs/cell/tests/test_discovery.py
@@ -34,6 +34,14 @@
     assert directory.candidates() == list(SEEDS)
 
 
+def test_a_named_leader_is_tried_first_though_it_was_unreachable() -> None:
+    directory = Directory(SEEDS)
+    directory.note_unreachable('10.0.0.3:1')
+    # It has come back, and the others know it as the leader.
+    directory.hint(MEMBER)
+    assert directory.candidates()[0] == '10.0.0.3:1'
+
+
 def test_exchanged_seeds_replace_the_old_ones() -> None:
     directory = Directory(SEEDS)
     directory.replace_seeds(('10.0.0.9:1',))
