Log refused requests and finished jobs

An on-call engineer could find why a request failed but not why it was refused, nor when a job ended: one line for each, with method, path, kind and detail, or job, state and age; bounded like all lines.

--- a/libs/workflows/src/cassiahold/workflows/commands.py
+++ b/libs/workflows/src/cassiahold/workflows/commands.py
@@ -7,6 +7,7 @@
 from cassiahold.core.ids import JobId, QueueName, TeamName, WorkerId
 from cassiahold.workflows.configuration import CellConfiguration
 from cassiahold.workflows.model import (
+    JobState,
     RunEnd,
     RunKey,
     StepKey,
@@ -126,13 +127,21 @@
     step: StepKey
 
 
+class JobFinished(msgspec.Struct, frozen=True):
+    """A job reached a final state."""
+
+    job: JobId
+    state: JobState
+    age_s: float
+
+
 class WorkerChanged(msgspec.Struct, frozen=True):
     """A worker came, changed or was forgotten."""
 
     worker: WorkerId
 
 
-Effect = RunStarted | RunUnwanted | StepSettled | WorkerChanged
+Effect = RunStarted | RunUnwanted | StepSettled | JobFinished | WorkerChanged
 
 encode_command: typing.Final = msgspec.msgpack.Encoder().encode
 decode_command: typing.Final = msgspec.msgpack.Decoder(Command).decode
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -466,6 +466,9 @@
             self._count_untouched(record, -1)
         record.state = state
         record.finished_at = at
+        self._effects.append(
+            commands.JobFinished(record.id, state, at - record.accepted_at)
+        )
         self._refresh_steps(record)
         if state is JobState.COMPLETE:
             return
--- a/programs/cell/src/cassiahold/cell/workers.py
+++ b/programs/cell/src/cassiahold/cell/workers.py
@@ -145,9 +145,19 @@
             self._send_stop(effect.run, effect.worker, effect.why)
         elif isinstance(effect, commands.StepSettled):
             self._advice.forget(effect.step)
+        elif isinstance(effect, commands.JobFinished):
+            self._note_finished(effect)
         else:
             self._refresh(effect.worker, now)
 
+    def _note_finished(self, effect: commands.JobFinished) -> None:
+        state = effect.state.value
+        logs.info(
+            'job_finished', job=effect.job, state=state, age_s=effect.age_s
+        )
+        self._metrics.incr(f'job_finished.{state}')
+        self._metrics.timing('job', effect.age_s * _MS)
+
     # Heartbeats.
 
     def beat(
--- a/programs/gateway/src/cassiahold/gateway/http.py
+++ b/programs/gateway/src/cassiahold/gateway/http.py
@@ -185,13 +185,15 @@
             return self._dispatch(request)
         except CassiaholdError as exc:
             self._metrics.incr(f'error.{exc.kind.value}')
-            if exc.answer.ran is Ran.MAY_HAVE_RUN:
-                logs.warning(
-                    'request_failed',
-                    path=request.path,
-                    kind=exc.kind.value,
-                    detail=exc.detail,
-                )
+            unsure = exc.answer.ran is Ran.MAY_HAVE_RUN
+            log = logs.warning if unsure else logs.info
+            log(
+                'request_failed' if unsure else 'request_refused',
+                method=request.method,
+                path=request.path,
+                kind=exc.kind.value,
+                detail=exc.detail,
+            )
             return self._answer_error(exc)
         except Exception as exc:  # noqa: BLE001
             logs.error('handler_fault', path=request.path, error=repr(exc))
