--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := $(patsubst %/pyproject.toml,%,$(wildcard */*/pyproject.toml platform/pyproject.toml))
 
-.PHONY: demo test lint setup bench capacity soak model clean
+.PHONY: demo test lint setup bench capacity soak soak-platform model clean
 
 setup: $(VENV)/.ready
 
@@ -35,8 +35,12 @@
 	$(BIN)/cassiahold-bench model
 
 MINUTES ?= 5
+FIRST ?= 100
 soak: setup
 	$(BIN)/cassiahold-bench soak --minutes $(MINUTES)
 
+soak-platform: setup
+	$(BIN)/python platform/tests/soak.py --seeds 5 --first $(FIRST)
+
 clean:
 	rm -rf $(VENV) var report
