--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -5,7 +5,6 @@
 """
 
 import collections
-import functools
 import typing
 
 import msgspec
@@ -14,6 +13,7 @@
 from cassiahold.core.ids import JobId, QueueName, TeamName, WorkerId
 from cassiahold.core.resources import NOTHING, Resources, is_under
 from cassiahold.workflows import commands
+from cassiahold.workflows.applying import AcceptOutcome, apply_command
 from cassiahold.workflows.configuration import (
     CellConfiguration,
     ConfigurationIndex,
@@ -37,13 +37,6 @@
 )
 
 
-class AcceptOutcome(msgspec.Struct, frozen=True):
-    """Whether a job is stored; ``error`` says why not."""
-
-    is_first: bool
-    error: ErrorKind | None = None
-
-
 class _Kept(msgspec.Struct):
     configuration: CellConfiguration = CellConfiguration()
     source: bytes = b''
@@ -158,7 +151,7 @@
 
     def apply(self, payload: bytes) -> typing.Any:
         """Apply one command of the log."""
-        return _apply(commands.decode_command(payload), self)
+        return apply_command(commands.decode_command(payload), self)
 
     def snapshot(self) -> bytes:
         """Return the whole state."""
@@ -520,48 +513,3 @@
         and not task.is_done
         and start.run.attempt > task.attempt
     )
-
-
-@functools.singledispatch
-def _apply(command: object, state: WorkState) -> typing.Any:
-    raise TypeError(f'unknown command {command!r}')
-
-
-@_apply.register
-def _(command: commands.AcceptJob, state: WorkState) -> AcceptOutcome:
-    return state.accept(command)
-
-
-@_apply.register
-def _(command: commands.CancelJob, state: WorkState) -> bool:
-    return state.cancel(command)
-
-
-@_apply.register
-def _(command: commands.StartRuns, state: WorkState) -> int:
-    return state.start(command)
-
-
-@_apply.register
-def _(command: commands.EndRuns, state: WorkState) -> None:
-    state.end(command)
-
-
-@_apply.register
-def _(command: commands.PutWorker, state: WorkState) -> bool:
-    return state.put_worker(command)
-
-
-@_apply.register
-def _(command: commands.ForgetWorker, state: WorkState) -> None:
-    state.forget_worker(command)
-
-
-@_apply.register
-def _(command: commands.PutConfiguration, state: WorkState) -> bool:
-    return state.put_configuration(command)
-
-
-@_apply.register
-def _(command: commands.PruneJobs, state: WorkState) -> int:
-    return state.prune(command)
--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -17,10 +17,11 @@
 from cassiahold.core.metrics import Metrics
 from cassiahold.workflows import commands
 from cassiahold.workflows.advising import AdviceBook
+from cassiahold.workflows.applying import AcceptOutcome
 from cassiahold.workflows.configuration import QueuePolicy
 from cassiahold.workflows.model import JobRecord
 from cassiahold.workflows.planning import Conditions, Planner
-from cassiahold.workflows.state import AcceptOutcome, WorkState
+from cassiahold.workflows.state import WorkState
 
 PLAN_INTERVAL_S: typing.Final = 0.05  # at least this often while work waits
 PLAN_PAUSE_S: typing.Final = 0.008  # between passes, however much changes
