--- a/programs/cell/src/cassiahold/cell/identity.py
+++ b/programs/cell/src/cassiahold/cell/identity.py
@@ -1,6 +1,5 @@
 """The identity of a replica's disk, kept beside its journal."""
 
-import os
 import pathlib
 import secrets
 import typing
@@ -8,6 +7,7 @@
 import msgspec
 
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
+from cassiahold.journal import OsDisk
 
 FIRST: typing.Final = 'first'  # the disk of a voter of the very first start
 _FILE: typing.Final = 'identity.json'
@@ -44,11 +44,10 @@
 def _load_or_write(
     path: pathlib.Path, address: str, first_voters: tuple[str, ...]
 ) -> Identity:
-    path.parent.mkdir(parents=True, exist_ok=True)
     if path.exists():
         return msgspec.json.decode(path.read_bytes(), type=Identity)
     fresh = _fresh(address, first_voters)
-    _write(path, msgspec.json.encode(fresh))
+    OsDisk(path.parent).replace(path, msgspec.json.encode(fresh))
     return fresh
 
 
@@ -56,17 +55,3 @@
     if address in first_voters:
         return Identity(FIRST, tuple(sorted(first_voters)))
     return Identity(secrets.token_hex(_RANDOM_BYTES))
-
-
-def _write(path: pathlib.Path, content: bytes) -> None:
-    partial = path.with_suffix('.partial')
-    with partial.open('wb') as stream:
-        stream.write(content)
-        stream.flush()
-        os.fsync(stream.fileno())
-    partial.replace(path)
-    descriptor = os.open(path.parent, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
