Keep withdrawn starts from being sent; tell where a job's time went

A start that was queued behind workers that do not answer was sent even after its job had been cancelled, which a worker may then run past the bound for cancelled work; stops waited in the same queue.

Change: a start is sent, and sent again, only while it is wanted; stops have threads of their own. job_finished says how long a job waited to be asked about, for advice, for room and for its first worker's answer, and how many runs failed; the waits are histograms (stage.*). The advisor's lanes move to a module of their own.

Test: test_a_start_that_is_withdrawn_while_it_waits_is_not_sent fails on the version before.

--- a/programs/cell/src/cassiahold/cell/outlet.py
+++ b/programs/cell/src/cassiahold/cell/outlet.py
@@ -1,8 +1,6 @@
 """Threads that carry a leader's orders to workers and advisors."""
 
 import concurrent.futures
-import itertools
-import queue
 import threading
 import typing
 
@@ -10,8 +8,8 @@
 
 from cassiahold.agreement.replica import NotLeaderError
 from cassiahold.cell import local_requests as local
-from cassiahold.cell import requests
 from cassiahold.cell.calling import LeaderCaller
+from cassiahold.cell.lanes import AdviceLanes, Ask
 from cassiahold.cell.ports import (
     AdvisorCalls,
     LookOrder,
@@ -24,20 +22,13 @@
 from cassiahold.core import logs
 from cassiahold.core.clock import steady
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
-from cassiahold.workflows.advising import Advice
-from cassiahold.workflows.model import WorkerInfo
+from cassiahold.workflows.model import RunKey, WorkerInfo
 from cassiahold.workflows.planning import Question
 
 START_TRIES: typing.Final = 4
+STOP_THREADS: typing.Final = 16
 STOP_TRIES: typing.Final = 8
 LOOK_PAUSE_S: typing.Final = 0.1  # after a look that failed
-QUICK_S: typing.Final = 0.1  # the leader's own lane takes shorter calls only
-HELP_FRESH_S: typing.Final = 5.0
-ADVICE_SLACK_S: typing.Final = 2.0
-MAX_LANES: typing.Final = 16
-YIELD_S: typing.Final = 0.02
-
-Ask = typing.Callable[[typing.Any], typing.Any]
 
 
 class Threads:
@@ -54,6 +45,11 @@
         self._orders = concurrent.futures.ThreadPoolExecutor(
             order_threads, thread_name_prefix='order'
         )
+        # Stops must not wait behind starts that get no answer.
+        self._stops = concurrent.futures.ThreadPoolExecutor(
+            STOP_THREADS, thread_name_prefix='stop'
+        )
+        self._open_starts = _OpenStarts()
         self._ask: Ask = _not_attached
         self.lanes = AdviceLanes(advisor, self._report)
 
@@ -65,6 +61,7 @@
     def close(self) -> None:
         """Take no more orders."""
         self._orders.shutdown(wait=False, cancel_futures=True)
+        self._stops.shutdown(wait=False, cancel_futures=True)
         self.lanes.close()
 
     # What the service calls.
@@ -79,12 +76,14 @@
         ).start()
 
     def start_run(self, order: StartOrder) -> None:
-        """Send a start."""
+        """Send a start unless it is withdrawn first."""
+        self._open_starts.add(order.run)
         self._orders.submit(self._start, order)
 
     def stop_run(self, order: StopOrder) -> None:
         """Send a stop until it is answered."""
-        self._orders.submit(self._stop, order)
+        self._open_starts.remove(order.run)
+        self._stops.submit(self._stop, order)
 
     def ask_advisor(self, question: Question) -> None:
         """Queue a call to the advisor."""
@@ -118,8 +117,11 @@
 
     def _start(self, order: StartOrder) -> None:
         reply = _tried(
-            START_TRIES, lambda: self._workers.start(order, ORDER_TIMEOUT_S)
+            START_TRIES,
+            lambda: self._workers.start(order, ORDER_TIMEOUT_S),
+            lambda: self._open_starts.is_wanted(order.run),
         )
+        self._open_starts.remove(order.run)
         self._report(
             local.StartDone(order.worker.id, order.fence, order.run, reply)
         )
@@ -148,140 +150,41 @@
             return local.SessionClosed()
 
 
-class AdviceLanes:
-    """Calls to the advisor: one at a time from each host that helps."""
+class _OpenStarts:
+    """Starts that are queued or being sent and that are still wanted."""
 
-    def __init__(self, advisor: AdvisorCalls | None, report: Ask) -> None:
-        self._advisor = advisor
-        self._report = report
-        self._caller: LeaderCaller | None = None
-        self._waiting: queue.PriorityQueue[tuple[int, float, int, Question]] = (
-            queue.PriorityQueue()
-        )
-        self._numbers = itertools.count()
+    def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._helped_at_by_address: dict[str, float] = {}
-        self._is_stopped = False
-
-    def start(self, caller: LeaderCaller) -> None:
-        """Begin with the lane of this host."""
-        self._caller = caller
-        if self._advisor is not None:
-            self._open_lane('')
-
-    def close(self) -> None:
-        """Stop every lane."""
-        self._is_stopped = True
+        self._wanted: set[RunKey] = set()
 
-    def offer(self, address: str) -> None:
-        """Use another host's help while it keeps offering it."""
+    def add(self, run: RunKey) -> None:
+        """Note a start that will be sent."""
         with self._lock:
-            is_new = address not in self._helped_at_by_address
-            if is_new and len(self._helped_at_by_address) >= MAX_LANES:
-                return
-            self._helped_at_by_address[address] = steady()
-        if is_new:
-            self._open_lane(address)
-
-    def put(self, question: Question) -> None:
-        """Queue a call."""
-        advisor = question.queue.advisor
-        length_s = 0.0
-        if advisor is not None:
-            named = len(question.workers)
-            length_s = advisor.decision_s + advisor.per_worker_s * named
-        self._waiting.put(
-            (question.queue.priority, length_s, next(self._numbers), question)
-        )
-
-    def _open_lane(self, address: str) -> None:
-        threading.Thread(
-            target=self._run_lane,
-            args=(address,),
-            name=f'advice {address or "own"}',
-            daemon=True,
-        ).start()
+            self._wanted.add(run)
 
-    def _run_lane(self, address: str) -> None:
-        while not self._is_stopped and self._is_helping(address):
-            try:
-                taken = self._waiting.get(timeout=1.0)
-            except queue.Empty:
-                continue
-            if not address and taken[1] > QUICK_S and self._has_helpers():
-                # A long call here would hold up the quick ones.
-                self._waiting.put(taken)
-                threading.Event().wait(YIELD_S)
-                continue
-            question = taken[-1]
-            advice = self._advice(address, question, taken[1])
-            self._report(local.AdviceDone(question, advice))
+    def remove(self, run: RunKey) -> None:
+        """Forget a start that is settled, or keep it from being sent."""
         with self._lock:
-            self._helped_at_by_address.pop(address, None)
-
-    def _advice(
-        self, address: str, question: Question, length_s: float
-    ) -> Advice | None:
-        workers = tuple(worker.id for worker in question.workers)
-        timeout_s = length_s + ADVICE_SLACK_S
-        began = steady()
-        try:
-            if not address and self._advisor is not None:
-                advice = self._advisor.advise(question.step, workers, timeout_s)
-            else:
-                advice = self._remote(address, question, workers, timeout_s)
-        except CassiaholdError as exc:
-            logs.warning(
-                'advice_failed',
-                job=question.step.job,
-                step=question.step.step,
-                host=address,
-                reason=exc.detail,
-            )
-            return None
-        logs.info(
-            'advice_given',
-            job=question.step.job,
-            step=question.step.step,
-            host=address,
-            named=len(workers),
-            allowed=len(advice.token_by_worker),
-            took_s=steady() - began,
-        )
-        return advice
+            self._wanted.discard(run)
 
-    def _remote(
-        self,
-        address: str,
-        question: Question,
-        workers: tuple[typing.Any, ...],
-        timeout_s: float,
-    ) -> Advice:
-        if self._caller is None:
-            raise CassiaholdError(ErrorKind.CUT_OFF, 'not attached')
-        reply = self._caller.call(
-            address,
-            requests.AskAdvisor(question.step, workers, timeout_s),
-            timeout_s,
-        )
-        return Advice(reply.token_by_worker, reply.validity_s)
-
-    def _is_helping(self, address: str) -> bool:
-        if not address:
-            return True
+    def is_wanted(self, run: RunKey) -> bool:
+        """Tell whether a start should still be sent."""
         with self._lock:
-            at = self._helped_at_by_address.get(address, 0.0)
-        return steady() < at + HELP_FRESH_S
+            return run in self._wanted
 
-    def _has_helpers(self) -> bool:
-        with self._lock:
-            return bool(self._helped_at_by_address)
+
+def _always() -> bool:
+    return True
 
 
 def _tried(
-    tries: int, call: typing.Callable[[], OrderReply]
+    tries: int,
+    call: typing.Callable[[], OrderReply],
+    is_wanted: typing.Callable[[], bool] = _always,
 ) -> OrderReply | None:
     for _ in range(tries):
+        if not is_wanted():
+            break
         try:
             return call()
         except CassiaholdError as exc:
--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -150,6 +150,7 @@
         self._metrics.incr('starts_planned', sum(map(len, plan.groups)))
         for question in plan.questions:
             leading.advice.asked(question.step)
+            leading.board.timelines.asked(question.step.job, now)
             self._outlet.ask_advisor(question)
         if not plan.groups:
             return []
@@ -218,6 +219,8 @@
         if outcome.error is not None:
             raise CassiaholdError(outcome.error, 'the queue was removed')
         record = self.state.job_by_id[job]
+        if outcome.is_first and self._leading is not None:
+            self._leading.board.timelines.accepted(job, steady())
         logs.info(
             'job_accepted',
             job=job,
--- a/programs/cell/src/cassiahold/cell/workers.py
+++ b/programs/cell/src/cassiahold/cell/workers.py
@@ -27,6 +27,7 @@
 from cassiahold.workflows.planning import Question
 from cassiahold.workflows.sessions import Findings, WorkerSession
 from cassiahold.workflows.state import WorkState
+from cassiahold.workflows.timelines import Timelines
 
 FENCES_PER_TERM: typing.Final = 1_000_000
 _MS: typing.Final = 1000
@@ -79,6 +80,7 @@
         self._stopping: set[RunKey] = set()
         self._saved_by_run: dict[RunKey, str] = {}
         self.health = HealthBook()
+        self.timelines = Timelines()
 
     def open_all(self, now: float) -> None:
         """Open a session with every known worker."""
@@ -152,9 +154,19 @@
 
     def _note_finished(self, effect: commands.JobFinished) -> None:
         state = effect.state.value
+        timeline = self.timelines.finish(effect.job)
+        waits = timeline.durations()
         logs.info(
-            'job_finished', job=effect.job, state=state, age_s=effect.age_s
+            'job_finished',
+            job=effect.job,
+            queue=self._state.job_by_id[effect.job].queue,
+            state=state,
+            age_s=effect.age_s,
+            failed_runs=timeline.failed_runs,
+            **waits,
         )
+        for stage, wait_s in waits.items():
+            self._metrics.timing(f'stage.{stage}', wait_s * _MS)
         self._metrics.incr(f'job_finished.{state}')
         self._metrics.timing('job', effect.age_s * _MS)
 
@@ -293,6 +305,8 @@
         for end in findings.ends:
             self._stopping.discard(end.run)
             took_s = self._learn_from(end)
+            if end.how is RunEnd.FAILED:
+                self.timelines.failed(end.run.task.step.job)
             self._metrics.incr(f'run_ended.{end.how.value}')
             self._metrics.timing('run', took_s * _MS)
             self._saved_by_run.pop(end.run, None)
@@ -377,6 +391,7 @@
         if reply.answer is Answer.DONE:
             session.answered(request.run, now)
             self.health.began(request.worker, request.run, now)
+            self.timelines.begun(request.run.task.step.job, now)
             return requests.Acknowledged()
         return self._refused(session, request.run, reply, now)
 
@@ -396,6 +411,7 @@
         if request.advice is None:
             self._advice.failed(question.step)
             return
+        self.timelines.advised(question.step.job, now)
         self._advice.answered(
             question.step,
             question.queue.name,
@@ -433,6 +449,7 @@
         tasks = record.step(step).tasks
         ticket = self._advice.ticket(step, session.info, now)
         session.order(start.run)
+        self.timelines.placed(step.job, now)
         self._outlet.start_run(
             StartOrder(
                 session.info,
--- /dev/null
+++ b/programs/cell/tests/test_outlet.py
@@ -0,0 +1,79 @@
+"""Tests of the threads that carry orders, against scripted workers."""
+
+import contextlib
+import threading
+import typing
+
+from cassiahold.cell import local_requests as local
+from cassiahold.cell.outlet import Threads
+from cassiahold.cell.ports import Answer, OrderReply, StartOrder, StopOrder
+from cassiahold.core.ids import DataCentre, JobId, WorkerId
+from cassiahold.core.resources import Resources
+from cassiahold.core.testing import function_tests
+from cassiahold.workflows.model import RunKey, StepKey, TaskKey, WorkerInfo
+
+WORKER = WorkerInfo(
+    WorkerId('w'), 1, 'w:80', 's', DataCentre('east'), Resources(1000)
+)
+WAIT_S = 5.0
+
+
+def run_of(job: str) -> RunKey:
+    return RunKey(TaskKey(StepKey(JobId(job), 0, 0), 0), 1)
+
+
+class SlowWorkers:
+    """The first start waits until it is told to go on."""
+
+    def __init__(self) -> None:
+        self.go_on = threading.Event()
+        self.sent: list[str] = []
+
+    def start(self, order: StartOrder, timeout_s: float) -> OrderReply:
+        self.sent.append(f'start {order.run.task.step.job}')
+        self.go_on.wait(WAIT_S)
+        return OrderReply(Answer.DONE)
+
+    def stop(self, order: StopOrder, timeout_s: float) -> OrderReply:
+        self.sent.append(f'stop {order.run.task.step.job}')
+        return OrderReply(Answer.DONE)
+
+
+class Reports:
+    """Keeps what the threads report."""
+
+    def __init__(self) -> None:
+        self.start_by_job: dict[str, local.StartDone] = {}
+        self.stops: list[local.StopDone] = []
+        self.is_complete = threading.Event()
+
+    def take(self, request: typing.Any) -> None:
+        if isinstance(request, local.StartDone):
+            self.start_by_job[request.run.task.step.job] = request
+        elif isinstance(request, local.StopDone):
+            self.stops.append(request)
+        if len(self.start_by_job) == 2 and self.stops:
+            self.is_complete.set()
+
+
+class _NoCaller:
+    """No other host is asked here."""
+
+
+def test_a_start_that_is_withdrawn_while_it_waits_is_not_sent() -> None:
+    workers = SlowWorkers()
+    reports = Reports()
+    with contextlib.ExitStack() as stack:
+        threads = Threads(workers, None, order_threads=1)
+        stack.callback(threads.close)
+        threads.attach(reports.take, _NoCaller())
+        threads.start_run(StartOrder(WORKER, run_of('first'), '', 1, 1))
+        threads.start_run(StartOrder(WORKER, run_of('cancelled'), '', 1, 1))
+        threads.stop_run(StopOrder(WORKER, run_of('cancelled'), 1))
+        workers.go_on.set()
+        assert reports.is_complete.wait(WAIT_S)
+    assert sorted(workers.sent) == ['start first', 'stop cancelled']
+    assert reports.start_by_job['cancelled'].reply is None
+
+
+load_tests = function_tests(globals())
