Replace a silent connection once; refuse at once without a leader on every address

The control address held heartbeats for 0.85 s each although no leader had answered for seconds, until 40 requests queued.

Change: only the connection that a call used is replaced. What libraries log (the queue depth of the HTTP server) becomes structured, bounded lines.

Tests: test_timeouts_on_one_connection_do_not_end_calls_in_progress fails on the version before; test_a_record_of_a_library_becomes_one_structured_line.

--- a/libs/core/src/cassiahold/core/logs.py
+++ b/libs/core/src/cassiahold/core/logs.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import logging as library_logging
 import queue
 import sys
 import threading
@@ -88,12 +89,32 @@
                 self._dropped += len(lines)
 
 
+class LibraryHandler(library_logging.Handler):
+    """Turns what libraries log into lines of the same form."""
+
+    def __init__(self, writer: LineWriter) -> None:
+        super().__init__(library_logging.WARNING)
+        self._writer = writer
+
+    def emit(self, record: library_logging.LogRecord) -> None:
+        """Write a library's record as one event."""
+        fields: dict[str, object] = {
+            'logger': record.name,
+            'message': record.getMessage(),
+        }
+        if record.exc_info and record.exc_info[1]:
+            fields['error'] = repr(record.exc_info[1])
+        self._writer.write(record.levelname.lower(), 'library', fields)
+
+
 _writers: list[LineWriter] = []
 
 
 def set_up() -> None:
     """Send every later line to standard output."""
-    _writers.append(LineWriter(sys.stdout))
+    writer = LineWriter(sys.stdout)
+    _writers.append(writer)
+    library_logging.getLogger().handlers = [LibraryHandler(writer)]
 
 
 def flush() -> None:
--- /dev/null
+++ b/libs/core/tests/test_logs.py
@@ -0,0 +1,46 @@
+"""Tests of the bounded line writer."""
+
+import io
+import logging as library_logging
+import time
+
+from cassiahold.core.logs import (
+    MAX_LINES_PER_S,
+    LibraryHandler,
+    LineWriter,
+)
+from cassiahold.core.testing import function_tests
+
+
+def test_a_record_of_a_library_becomes_one_structured_line() -> None:
+    stream = io.StringIO()
+    writer = LineWriter(stream)
+    record = library_logging.LogRecord(
+        'http', library_logging.WARNING, '', 0, 'queue is %d', (7,), None
+    )
+    LibraryHandler(writer).emit(record)
+    _settle(writer, stream, 1)
+    line = stream.getvalue().strip()
+    assert 'level=warning event=library logger=http' in line
+    assert line.endswith('message="queue is 7"')
+
+
+def test_lines_of_one_event_are_bounded() -> None:
+    stream = io.StringIO()
+    writer = LineWriter(stream)
+    for _ in range(3 * MAX_LINES_PER_S):
+        writer.write('info', 'burst', {})
+    _settle(writer, stream, MAX_LINES_PER_S)
+    # A second may end while the lines are written.
+    assert len(stream.getvalue().splitlines()) <= 2 * MAX_LINES_PER_S
+
+
+def _settle(writer: LineWriter, stream: io.StringIO, lines: int) -> None:
+    for _ in range(200):
+        writer.flush()
+        time.sleep(0.01)
+        if len(stream.getvalue().splitlines()) >= lines:
+            return
+
+
+load_tests = function_tests(globals())
--- a/libs/wire/src/cassiahold/wire/transport.py
+++ b/libs/wire/src/cassiahold/wire/transport.py
@@ -177,22 +177,23 @@
         Raises ``CUT_OFF`` when the request surely did not arrive and
         ``OUTCOME_UNKNOWN`` when it may have.
         """
-        stub = self._stub(_CALL)
+        connection = self._connection()
         payload = _encode(CallEnvelope(group, request, traceparent))
         try:
-            raw = stub(payload, timeout=timeout_s)
+            raw = connection.unary_unary(_CALL)(payload, timeout=timeout_s)
         except grpc.RpcError as exc:
-            raise self._failure(exc) from exc
+            raise self._failure(exc, connection) from exc
         return self._codec.decode_reply(raw)
 
     def deliver(self, envelopes: list[Envelope]) -> None:
         """Send agreement messages; raises ``CUT_OFF`` when lost."""
-        stub = self._stub(_DELIVER)
+        connection = self._connection()
+        stub = connection.unary_unary(_DELIVER)
         payload = _encode(EnvelopeBatch(envelopes))
         try:
             stub(payload, timeout=_DELIVER_TIMEOUT_S)
         except grpc.RpcError as exc:
-            raise self._failure(exc) from exc
+            raise self._failure(exc, connection) from exc
 
     def close(self) -> None:
         """Close the connection."""
@@ -203,15 +204,16 @@
             while self._retired:
                 self._retired.popleft().close()
 
-    def _retire(self) -> None:
+    def _retire(self, connection: typing.Any) -> None:
         with self._lock:
-            if self._channel is not None:
-                self._retired.append(self._channel)
+            # Other calls may have replaced it already.
+            if self._channel is connection:
+                self._retired.append(connection)
                 self._channel = None
             while len(self._retired) > MAX_RETIRED:
                 self._retired.popleft().close()
 
-    def _stub(self, method: str) -> typing.Any:
+    def _connection(self) -> typing.Any:
         with self._lock:
             stamp = self._security.stamp()
             if self._channel is None or stamp != self._stamp:
@@ -219,13 +221,15 @@
                     self.address, _OPTIONS
                 )
                 self._stamp = stamp
-            return self._channel.unary_unary(method)
+            return self._channel
 
-    def _failure(self, exc: typing.Any) -> CassiaholdError:
+    def _failure(
+        self, exc: typing.Any, connection: typing.Any
+    ) -> CassiaholdError:
         code = exc.code()
         if code is grpc.StatusCode.DEADLINE_EXCEEDED:
             # The connection may be silent for good; the next call opens one.
-            self._retire()
+            self._retire(connection)
         detail = f'{self.address}: {code.name}: {exc.details()}'
         # A failed connection never carried the request; a lost one may have.
         refused = _NEVER_CONNECTED in (exc.details() or '')
--- a/libs/wire/tests/test_transport.py
+++ b/libs/wire/tests/test_transport.py
@@ -143,6 +143,38 @@
         channel.close()
 
 
+def test_timeouts_on_one_connection_do_not_end_calls_in_progress() -> None:
+    address = free_address()
+    outcomes: list[typing.Any] = []
+
+    def slow(group: GroupName, request: Request) -> Reply:
+        time.sleep(1.0)
+        return Changed(1)
+
+    def call(channel: Channel, timeout_s: float) -> None:
+        try:
+            outcomes.append(channel.call(GROUP, GetStatus(), timeout_s))
+        except CassiaholdError as exc:
+            outcomes.append(exc.kind)
+
+    node = NodeServer('test', address, PLAIN, 16, slow, lambda _: None)
+    with (
+        contextlib.closing(node),
+        contextlib.closing(Channel(address, PLAIN)) as channel,
+    ):
+        calls = [
+            threading.Thread(target=call, args=(channel, timeout_s))
+            for timeout_s in (5.0, *(0.2 for _ in range(8)))
+        ]
+        for each in calls:
+            each.start()
+            time.sleep(0.05)
+        for each in calls:
+            each.join()
+    assert outcomes.count(ErrorKind.OUTCOME_UNKNOWN) == 8
+    assert outcomes.count(Changed(1)) == 1
+
+
 def test_an_address_in_use_is_named() -> None:
     address = free_address()
     with server(address, lambda *_: Changed(1)):
--- a/programs/cell/src/cassiahold/cell/node.py
+++ b/programs/cell/src/cassiahold/cell/node.py
@@ -29,6 +29,7 @@
 from cassiahold.cell.service import CellService
 from cassiahold.cell.settings import (
     GROUP,
+    LEADER_SILENT_S,
     SNAPSHOT_BYTES,
     SNAPSHOT_RECORDS,
     CellSettings,
@@ -102,7 +103,16 @@
         self._stack.close()
 
     def ask(self, request: typing.Any, timeout_s: float) -> typing.Any:
-        """Put an idempotent request to the leader, wherever it is."""
+        """Put an idempotent request to the leader, wherever it is.
+
+        Refused at once with ``NO_QUORUM`` while no leader answers; a thread
+        of this process keeps looking for one.
+        """
+        silent_s = self.caller.silent_s()
+        if silent_s > LEADER_SILENT_S:
+            raise CassiaholdError(
+                ErrorKind.NO_QUORUM, f'no leader for {silent_s:.1f} s'
+            )
         return self.caller.ask(request, timeout_s)
 
     def handle(self, request: typing.Any) -> typing.Any:
