Log the cell's load once a second

Change: the leader writes one line a second (workers, cores, reserved cores, waiting steps by queue) and gauges of waiting steps. No change of decisions.

--- /dev/null
+++ b/libs/workflows/src/cassiahold/workflows/load.py
@@ -0,0 +1,36 @@
+"""How full the cell is, for logs and metrics."""
+
+import collections
+import typing
+
+import msgspec
+
+from cassiahold.core.ids import QueueName, WorkerId
+from cassiahold.workflows.state import WorkState
+
+
+class Load(msgspec.Struct, frozen=True):
+    """Cores of usable workers and waiting steps, by queue.
+
+    Cores are in thousandths.
+    """
+
+    cores_m: int
+    reserved_cores_m: int
+    waiting_by_queue: dict[QueueName, int]
+
+
+def load_of(state: WorkState, usable: typing.Collection[WorkerId]) -> Load:
+    """Return the load of the usable workers of a state."""
+    workers = [
+        worker
+        for worker in state.worker_by_id.values()
+        if worker.info.id in usable
+    ]
+    return Load(
+        sum(worker.info.capacity.cores_m for worker in workers),
+        sum(worker.reserved.cores_m for worker in workers),
+        collections.Counter(
+            state.job_by_id[key.job].queue for key in state.waiting_steps()
+        ),
+    )
--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -19,6 +19,7 @@
 from cassiahold.workflows.advising import AdviceBook
 from cassiahold.workflows.applying import AcceptOutcome
 from cassiahold.workflows.configuration import QueuePolicy
+from cassiahold.workflows.load import load_of
 from cassiahold.workflows.model import JobRecord
 from cassiahold.workflows.planning import Conditions, Planner
 from cassiahold.workflows.state import WorkState
@@ -26,6 +27,7 @@
 PLAN_INTERVAL_S: typing.Final = 0.05  # at least this often while work waits
 PLAN_PAUSE_S: typing.Final = 0.008  # between passes, however much changes
 PRUNE_INTERVAL_S: typing.Final = 5.0
+REPORT_INTERVAL_S: typing.Final = 1.0
 _MS: typing.Final = 1000
 NO_TEAM: typing.Final = TeamName('')
 
@@ -39,6 +41,7 @@
     planner: Planner
     planned_at: float = 0.0
     pruned_at: float = 0.0
+    reported_at: float = 0.0
     is_changed: bool = True
     # Starts that are proposed but not applied are not in the state yet.
     starting: bytes = b''
@@ -109,6 +112,9 @@
         if now >= leading.pruned_at + PRUNE_INTERVAL_S:
             leading.pruned_at = now
             found.extend(self._prune())
+        if now >= leading.reported_at + REPORT_INTERVAL_S:
+            leading.reported_at = now
+            self._report_load(leading, now)
         since_s = now - leading.planned_at
         pause_s = PLAN_PAUSE_S if leading.is_changed else PLAN_INTERVAL_S
         if since_s >= pause_s and not leading.starting:
@@ -158,6 +164,23 @@
         leading.starting = commands.encode_command(command)
         return [command]
 
+    def _report_load(self, leading: _Leading, now: float) -> None:
+        usable = leading.board.usable(now)
+        load = load_of(self.state, usable)
+        logs.info(
+            'load',
+            workers=len(self.state.worker_by_id),
+            usable=len(usable),
+            cores=load.cores_m // _MS,
+            reserved_cores=load.reserved_cores_m // _MS,
+            waiting=' '.join(
+                f'{queue}:{count}'
+                for queue, count in sorted(load.waiting_by_queue.items())
+            ),
+        )
+        for queue, count in load.waiting_by_queue.items():
+            self._metrics.gauge(f'waiting_steps.{queue}', count)
+
     def _prune(self) -> list[commands.Command]:
         before = time.time() - self._settings.keep_finished_s
         for record in self.state.job_by_id.values():
