Call advisors from 64 hosts; let one waiting gang hold room, not each

Change: up to 64 helping hosts; only the most urgent waiting gang holds room.

One is kept, so that small work cannot starve a gang. Test: test_only_the_most_urgent_waiting_gang_holds_room_back fails on the version before.

--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -1,7 +1,9 @@
 """Which tasks start where, and which advisors are asked, in one pass.
 
-A gang that has to wait keeps the room of its allowed workers from the work
-behind it, so that a stream of small tasks does not starve it.
+The most urgent gang that has to wait keeps the room of its allowed workers
+from the work behind it, so that a stream of small tasks does not starve it.
+Others keep nothing: several gangs that each hold a part of what they need
+leave the cell idle while none of them can start.
 
 A pass looks only at workers that can matter for a step: those that hold a
 ticket for it, or those with room when an advisor has to be asked.  A step
@@ -104,6 +106,7 @@
             health,
         )
         self._added_by_team: dict[TeamName, Resources] = {}
+        self._is_holding = False
         self._plan = Plan()
 
     def run(self, candidates: list[Candidate]) -> Plan:
@@ -207,6 +210,9 @@
         self._hold_back(candidate, len(tasks))
 
     def _hold_back(self, candidate: Candidate, tasks: int) -> None:
+        if self._is_holding:
+            return
+        self._is_holding = True
         left = tasks
         for room in self._rooms.of(self._advice.allowed(candidate.key)):
             fits = how_many_fit(candidate.spec.resources, room.free)
--- a/libs/workflows/tests/test_planning.py
+++ b/libs/workflows/tests/test_planning.py
@@ -165,6 +165,25 @@
     assert not plan(cell, advice, now=0.1).groups
 
 
+def test_only_the_most_urgent_waiting_gang_holds_room_back() -> None:
+    settings = configuration(queue('gangs', 1, advised=True), queue('small', 2))
+    cell = Cell('w', 'x', config=settings)
+    cell.submit('first', step(5, is_gang=True), queue='gangs', at=0.0)
+    cell.submit('second', step(9, is_gang=True), queue='gangs', at=0.1)
+    cell.submit('small', step(8), queue='small', at=0.1)
+    advice = AdviceBook()
+    first, second, _ = cell.state.waiting_steps()
+    infos = [each.info for each in cell.state.worker_by_id.values()]
+    for key, allowed in ((first, infos[:1]), (second, infos)):
+        advice.asked(key)
+        tokens = {info.id: 'token' for info in allowed}
+        advice.answered(
+            key, QueueName('gangs'), infos, Advice(tokens, 2.0), 0.0
+        )
+    groups = plan(cell, advice, now=0.1).groups
+    assert [group[0].worker for group in groups] == ['x'] * 4
+
+
 def test_a_team_without_room_does_not_hold_back_others() -> None:
     cell = Cell('w', config=configuration(limit=Resources(cores_m=1)))
     cell.submit('j', step(4))
--- a/programs/cell/src/cassiahold/cell/lanes.py
+++ b/programs/cell/src/cassiahold/cell/lanes.py
@@ -18,7 +18,7 @@
 QUICK_S: typing.Final = 0.1  # the leader's own lane takes shorter calls only
 HELP_FRESH_S: typing.Final = 5.0
 ADVICE_SLACK_S: typing.Final = 2.0
-MAX_LANES: typing.Final = 16
+MAX_LANES: typing.Final = 64
 YIELD_S: typing.Final = 0.02
 
 Ask = typing.Callable[[typing.Any], typing.Any]
