Keep learned speeds in the replicated state; try unknown workers with loose work

A run that a new leader had not seen begin made its worker look fast, and a gang, which runs at the pace of its slowest member, made every member look slow.

Change: the end of a run carries how long it took (0 when its begin was not seen); applying it updates the worker's estimate on every replica, the first runs weighing most; gangs and resumed runs teach nothing. Work with slack tries workers whose speed is unknown, work without takes known ones. state.py loses its pure parts to steps.py and outcomes.py.

--- a/libs/workflows/src/cassiahold/workflows/commands.py
+++ b/libs/workflows/src/cassiahold/workflows/commands.py
@@ -49,12 +49,16 @@
 
 
 class End(msgspec.Struct, frozen=True, array_like=True):
-    """The end of a run on one incarnation of a worker."""
+    """The end of a run on one incarnation of a worker.
+
+    ``took_s`` is how long a whole run that is done took, 0 when not known.
+    """
 
     run: RunKey
     worker: WorkerId
     how: RunEnd
     saved: str = ''
+    took_s: float = 0.0
 
 
 class EndRuns(msgspec.Struct, frozen=True, tag='end'):
--- a/libs/workflows/src/cassiahold/workflows/health.py
+++ b/libs/workflows/src/cassiahold/workflows/health.py
@@ -1,4 +1,4 @@
-"""Learned speed and soundness of workers, from runs and their progress.
+"""Learned soundness of workers, from runs and their progress.
 
 A failure is charged to a worker only when runs of several jobs fail there
 one after the other: a job that fails everywhere says nothing of a worker.
@@ -11,11 +11,7 @@
 from cassiahold.core.ids import JobId, WorkerId
 from cassiahold.workflows.model import RunEnd, RunKey
 
-SPEED_GAIN: typing.Final = 0.2
 AVOID_S: typing.Final = 3.0  # how long a job keeps off a worker it failed on
-LEAST_SPEED: typing.Final = 0.1
-MOST_SPEED: typing.Final = 4.0
-LEAST_SAMPLE_S: typing.Final = 0.2  # shorter runs say little about speed
 SUSPECT_JOBS: typing.Final = 3  # jobs in a row that failed on a worker
 FIRST_REST_S: typing.Final = 2.0
 LONGEST_REST_S: typing.Final = 16.0
@@ -24,7 +20,6 @@
 
 
 class _Health(msgspec.Struct):
-    speed: float = 1.0
     failed_jobs: set[JobId] = msgspec.field(default_factory=set)
     rest_until: float = 0.0
     rest_s: float = FIRST_REST_S
@@ -40,6 +35,7 @@
     began_at: float
     percent: int
     moved_at: float
+    is_whole: bool = True
 
 
 class HealthBook:
@@ -50,11 +46,6 @@
         self._progress_by_run: dict[RunKey, _Progress] = {}
         self._failed_at_by_place: dict[_Place, float] = {}
 
-    def speed_of(self, worker: WorkerId) -> float:
-        """Return a worker's speed; 1 is what estimates are made for."""
-        health = self._health_by_worker.get(worker)
-        return 1.0 if health is None else health.speed
-
     def is_suspect(self, worker: WorkerId) -> bool:
         """Tell whether the last run that ended on a worker failed."""
         health = self._health_by_worker.get(worker)
@@ -80,7 +71,10 @@
         """Take how far a run has come."""
         known = self._progress_by_run.get(run)
         if known is None:
-            self._progress_by_run[run] = _Progress(worker, now, percent, now)
+            # Under an earlier leader it may have begun long before.
+            self._progress_by_run[run] = _Progress(
+                worker, now, percent, now, is_whole=False
+            )
         elif percent != known.percent:
             known.percent = percent
             known.moved_at = now
@@ -96,28 +90,27 @@
         """Rest a worker on which a run stands still."""
         self._rest(self._of(worker), now)
 
+    def took_s(self, run: RunKey, now: float) -> float:
+        """Return how long a run has taken, 0 when its begin was not seen."""
+        known = self._progress_by_run.get(run)
+        if known is None or not known.is_whole:
+            return 0.0
+        return now - known.began_at
+
     def ended(
-        self,
-        worker: WorkerId,
-        run: RunKey,
-        how: RunEnd,
-        expected_s: float,
-        now: float,
-    ) -> float:
-        """Take the end of a run; return for how long it was seen."""
-        known = self._progress_by_run.pop(run, None)
-        took_s = 0.0 if known is None else now - known.began_at
+        self, worker: WorkerId, run: RunKey, how: RunEnd, now: float
+    ) -> None:
+        """Take the end of a run."""
+        self._progress_by_run.pop(run, None)
         health = self._of(worker)
         if how is RunEnd.DONE:
             health.failed_jobs.clear()
             health.rest_s = FIRST_REST_S
-            _learn(health, expected_s, took_s)
         elif how is RunEnd.FAILED:
             self._note_place(_Place(run.task.step.job, worker), now)
             health.failed_jobs.add(run.task.step.job)
             if len(health.failed_jobs) >= SUSPECT_JOBS:
                 self._rest(health, now)
-        return took_s
 
     def forget(self, worker: WorkerId) -> None:
         """Forget a worker that is gone."""
@@ -144,10 +137,3 @@
         # One more failure after the rest is enough.
         while len(health.failed_jobs) >= SUSPECT_JOBS:
             health.failed_jobs.pop()
-
-
-def _learn(health: _Health, expected_s: float, took_s: float) -> None:
-    if expected_s <= 0 or took_s < LEAST_SAMPLE_S:
-        return
-    speed = min(max(expected_s / took_s, LEAST_SPEED), MOST_SPEED)
-    health.speed += SPEED_GAIN * (speed - health.speed)
--- a/libs/workflows/src/cassiahold/workflows/model.py
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -7,6 +7,7 @@
 
 from cassiahold.core.ids import JobId, QueueName, TeamName, WorkerId
 from cassiahold.core.resources import NOTHING, Resources
+from cassiahold.workflows.speeds import SpeedEstimate
 
 
 class JobState(enum.Enum):
@@ -190,6 +191,7 @@
     info: WorkerInfo
     reserved: Resources = NOTHING
     runs: dict[RunKey, Resources] = msgspec.field(default_factory=dict)
+    speed: SpeedEstimate = msgspec.field(default_factory=SpeedEstimate)
 
     @property
     def free(self) -> Resources:
--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -29,7 +29,8 @@
     how_many_fit,
     rank,
 )
-from cassiahold.workflows.state import WorkState, startable_tasks
+from cassiahold.workflows.state import WorkState
+from cassiahold.workflows.steps import startable_tasks
 from cassiahold.workflows.urgency import Backlog, Candidate
 
 UNLIMITED: typing.Final = 1_000_000_000_000
--- a/libs/workflows/src/cassiahold/workflows/rooms.py
+++ b/libs/workflows/src/cassiahold/workflows/rooms.py
@@ -72,7 +72,7 @@
                 worker,
                 worker.info,
                 worker.free,
-                health.speed_of(worker.info.id),
+                worker.speed.speed,
                 health.is_suspect(worker.info.id),
             )
             for worker in workers
@@ -97,6 +97,7 @@
     is_suspect: bool
     is_slow: bool
     order: float
+    is_second: bool
     free: int
 
 
@@ -104,7 +105,8 @@
     """Return a sort key; the best room for a task of a step goes first.
 
     Work goes to the slowest worker on which its job is still on time, so
-    that fast ones are left for work with little slack.
+    that fast ones are left for work with little slack.  Workers whose speed
+    is not known yet are tried with work that has slack.
     """
     near = candidate.spec.near_rack
     is_far = bool(near) and near != room.info.rack
@@ -113,7 +115,14 @@
     # Estimates are rough: with little slack the fastest goes first.
     is_tight = candidate.queue.slack < TIGHT_SLACK
     order = -speed if slow or is_tight else speed
-    return _Rank(is_far, room.is_suspect, slow, order, room.free.cores_m)
+    return _Rank(
+        is_far,
+        room.is_suspect,
+        slow,
+        order,
+        room.worker.speed.is_proven is not is_tight,
+        room.free.cores_m,
+    )
 
 
 def breadth(candidate: Candidate, room: Room) -> tuple[bool, bool, int]:
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -30,7 +30,15 @@
     WorkerRecord,
     new_job,
 )
+from cassiahold.workflows.outcomes import (
+    keep_checkpoint,
+    learn_speed,
+    mark_done,
+    mark_failed,
+)
 from cassiahold.workflows.reservations import Reservations
+from cassiahold.workflows.speeds import SpeedEstimate
+from cassiahold.workflows.steps import has_startable, is_startable, steps_of
 
 _UNWANTED_STATES: typing.Final = frozenset(
     (JobState.FAILED, JobState.CANCELLED)
@@ -51,6 +59,7 @@
     source: bytes
     jobs: list[JobRecord]
     workers: list[commands.PutWorker]
+    speeds: list[SpeedEstimate] = msgspec.field(default_factory=list)
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -165,6 +174,7 @@
                     commands.PutWorker(worker.info)
                     for worker in kept.worker_by_id.values()
                 ],
+                [worker.speed for worker in kept.worker_by_id.values()],
             )
         )
 
@@ -177,6 +187,8 @@
             {record.id: record for record in saved.jobs},
             {put.info.id: WorkerRecord(put.info) for put in saved.workers},
         )
+        for put, speed in zip(saved.workers, saved.speeds, strict=False):
+            self._kept.worker_by_id[put.info.id].speed = speed
         self._effects = []
         self._reset_derived()
 
@@ -229,6 +241,9 @@
         elif info.born < known.info.born:
             return False
         else:
+            if info.born > known.info.born:
+                # The host may be of another kind now.
+                known.speed = SpeedEstimate()
             # Runs of an earlier incarnation stay until their end is known.
             known.info = info
         self._effects.append(commands.WorkerChanged(info.id))
@@ -285,7 +300,7 @@
             if record.state is JobState.QUEUED:
                 self._count_untouched(record, 1)
             self._refresh_steps(record)
-            for key in _steps_of(record):
+            for key in steps_of(record):
                 self._reserve_again(record, key)
 
     def _reserve_again(self, record: JobRecord, key: StepKey) -> None:
@@ -302,11 +317,11 @@
         self._untouched_by_queue[record.queue] = count
 
     def _refresh_steps(self, record: JobRecord) -> None:
-        for key in _steps_of(record):
+        for key in steps_of(record):
             self._refresh_step(record, key)
 
     def _refresh_step(self, record: JobRecord, key: StepKey) -> None:
-        if record.is_open and _has_startable(record, key):
+        if record.is_open and has_startable(record, key):
             self._waiting[key] = None
             return
         self._waiting.pop(key, None)
@@ -322,7 +337,7 @@
             record = self._kept.job_by_id.get(start.run.task.step.job)
             if worker is None or worker.info.born != start.born:
                 return False
-            if record is None or not _is_startable(record, start):
+            if record is None or not is_startable(record, start):
                 return False
             wanted = wanted_by_worker.get(start.worker, NOTHING)
             wanted += self.spec_of(start.run.task.step).resources
@@ -370,22 +385,13 @@
         if run.worker != ended.worker:
             return
         self._reservations.release(record.team, ended.run, run.worker)
+        learn_speed(record, ended, self._kept.worker_by_id[run.worker])
         task.run = None
         if ended.saved:
-            self._keep_checkpoint(record, ended)
+            keep_checkpoint(record, ended)
         self._settle(record, ended, at)
         self._refresh_step(record, key)
 
-    def _keep_checkpoint(self, record: JobRecord, ended: commands.End) -> None:
-        key = ended.run.task.step
-        tasks = record.step(key).tasks
-        if record.spec.steps[key.step].is_gang:
-            # All members resume from the same point.
-            for member in tasks:
-                member.saved = ended.saved
-        else:
-            tasks[ended.run.task.number].saved = ended.saved
-
     def _settle(
         self, record: JobRecord, ended: commands.End, at: float
     ) -> None:
@@ -404,17 +410,7 @@
     def _count_done(
         self, record: JobRecord, ended: commands.End, at: float
     ) -> None:
-        key = ended.run.task.step
-        step = record.step(key)
-        spec = record.spec.steps[key.step]
-        # One member of a gang that is done stands for all of them.
-        tasks = (
-            step.tasks if spec.is_gang else [step.tasks[ended.run.task.number]]
-        )
-        for task in tasks:
-            step.undone -= int(not task.is_done)
-            task.is_done = True
-        if step.undone:
+        if mark_done(record, ended):
             return
         if any(later.undone for steps in record.occurrences for later in steps):
             self._refresh_steps(record)
@@ -424,18 +420,9 @@
     def _count_failure(
         self, record: JobRecord, ended: commands.End, at: float
     ) -> None:
-        key = ended.run.task.step
-        step = record.step(key)
-        task = step.tasks[ended.run.task.number]
-        if task.is_done:
-            return
-        task.failures += 1
-        failures = task.failures
-        if record.spec.steps[key.step].is_gang:
-            step.gang_failures += 1
-            failures = step.gang_failures
+        failures = mark_failed(record, ended)
         queue = self.index.queue_by_name.get(record.queue)
-        if queue is not None and failures >= queue.attempts:
+        if queue is not None and failures and failures >= queue.attempts:
             self._finish(record, JobState.FAILED, at)
 
     def _stop_gang(self, record: JobRecord, ended: commands.End) -> None:
@@ -465,51 +452,10 @@
         self._refresh_steps(record)
         if state is JobState.COMPLETE:
             return
-        for key in _steps_of(record):
+        for key in steps_of(record):
             for index, task in enumerate(record.step(key).tasks):
                 if task.run is not None:
                     run = RunKey(TaskKey(key, index), task.run.attempt)
                     self._effects.append(
                         commands.RunUnwanted(run, task.run.worker, state.value)
                     )
-
-
-def _steps_of(record: JobRecord) -> list[StepKey]:
-    return [
-        StepKey(record.id, occurrence, step)
-        for occurrence, steps in enumerate(record.occurrences)
-        for step in range(len(steps))
-    ]
-
-
-def startable_tasks(record: JobRecord, key: StepKey) -> list[int]:
-    """Return the numbers of the tasks of a ready step that may start.
-
-    A gang may start only when no earlier run of any member remains.
-    """
-    tasks = record.step(key).tasks
-    if record.spec.steps[key.step].is_gang:
-        if any(task.run is not None or task.is_done for task in tasks):
-            return []
-        return list(range(len(tasks)))
-    return [
-        index
-        for index, task in enumerate(tasks)
-        if task.run is None and not task.is_done
-    ]
-
-
-def _has_startable(record: JobRecord, key: StepKey) -> bool:
-    return record.is_ready(key) and bool(startable_tasks(record, key))
-
-
-def _is_startable(record: JobRecord, start: commands.Start) -> bool:
-    key = start.run.task.step
-    if not record.is_open or not record.is_ready(key):
-        return False
-    task = record.step(key).tasks[start.run.task.number]
-    return (
-        task.run is None
-        and not task.is_done
-        and start.run.attempt > task.attempt
-    )
--- /dev/null
+++ b/libs/workflows/src/cassiahold/workflows/steps.py
@@ -0,0 +1,48 @@
+"""Which steps and tasks of a job may start."""
+
+from cassiahold.workflows.commands import Start
+from cassiahold.workflows.model import JobRecord, StepKey
+
+
+def steps_of(record: JobRecord) -> list[StepKey]:
+    """Return the keys of every step of every occurrence."""
+    return [
+        StepKey(record.id, occurrence, step)
+        for occurrence, steps in enumerate(record.occurrences)
+        for step in range(len(steps))
+    ]
+
+
+def startable_tasks(record: JobRecord, key: StepKey) -> list[int]:
+    """Return the numbers of the tasks of a ready step that may start.
+
+    A gang may start only when no earlier run of any member remains.
+    """
+    tasks = record.step(key).tasks
+    if record.spec.steps[key.step].is_gang:
+        if any(task.run is not None or task.is_done for task in tasks):
+            return []
+        return list(range(len(tasks)))
+    return [
+        index
+        for index, task in enumerate(tasks)
+        if task.run is None and not task.is_done
+    ]
+
+
+def has_startable(record: JobRecord, key: StepKey) -> bool:
+    """Tell whether a step is ready and has a task to start."""
+    return record.is_ready(key) and bool(startable_tasks(record, key))
+
+
+def is_startable(record: JobRecord, start: Start) -> bool:
+    """Tell whether a start is still right for its task."""
+    key = start.run.task.step
+    if not record.is_open or not record.is_ready(key):
+        return False
+    task = record.step(key).tasks[start.run.task.number]
+    return (
+        task.run is None
+        and not task.is_done
+        and start.run.attempt > task.attempt
+    )
--- a/libs/workflows/tests/test_health.py
+++ b/libs/workflows/tests/test_health.py
@@ -11,7 +11,7 @@
 
 
 def fail(book: HealthBook, job: str, now: float) -> None:
-    book.ended(W, run(job, 0, 0), RunEnd.FAILED, 1.0, now)
+    book.ended(W, run(job, 0, 0), RunEnd.FAILED, now)
 
 
 def test_several_failing_jobs_in_a_row_rest_a_worker() -> None:
@@ -28,7 +28,7 @@
 def test_a_job_that_fails_everywhere_blames_no_worker() -> None:
     book = HealthBook()
     for attempt in range(9):
-        book.ended(W, run('a', 0, 0, attempt), RunEnd.FAILED, 1.0, 1.0)
+        book.ended(W, run('a', 0, 0, attempt), RunEnd.FAILED, 1.0)
     assert not book.is_resting(W, 1.1)
 
 
@@ -37,7 +37,7 @@
     fail(book, 'a', 1.0)
     fail(book, 'b', 1.0)
     assert book.is_suspect(W)
-    book.ended(W, run('c', 0, 0), RunEnd.DONE, 1.0, 1.0)
+    book.ended(W, run('c', 0, 0), RunEnd.DONE, 1.0)
     assert not book.is_suspect(W)
     fail(book, 'd', 1.0)
     assert not book.is_resting(W, 1.1)
--- a/libs/workflows/tests/test_planning.py
+++ b/libs/workflows/tests/test_planning.py
@@ -28,14 +28,11 @@
     return planner.plan(Conditions(usable, now, now))
 
 
-def learned(took_s_by_worker: dict[str, float]) -> HealthBook:
-    health = HealthBook()
+def learn(cell: Cell, took_s_by_worker: dict[str, float]) -> None:
     for worker, took_s in took_s_by_worker.items():
-        for number in range(40):
-            known = run(f'past{number}', 0, 0)
-            health.began(WorkerId(worker), known, 0.0)
-            health.ended(WorkerId(worker), known, RunEnd.DONE, 1.0, took_s)
-    return health
+        for _ in range(40):
+            record = cell.state.worker_by_id[WorkerId(worker)]
+            record.speed.learn(1.0, took_s)
 
 
 def test_a_burst_of_urgent_work_goes_before_older_batch_work() -> None:
@@ -197,12 +194,24 @@
     cell = Cell('fast', 'slow', config=configuration(tight, loose))
     cell.submit('batch', step(1), queue='loose')
     cell.submit('live', step(1), queue='tight')
-    health = learned({'fast': 0.8, 'slow': 2.0})
-    groups = plan(cell, health=health).groups
+    learn(cell, {'fast': 0.8, 'slow': 2.0})
+    groups = plan(cell).groups
     placed = {group[0].run.task.step.job: group[0].worker for group in groups}
     assert placed == {'live': 'fast', 'batch': 'slow'}
 
 
+def test_workers_of_unknown_speed_are_tried_with_work_that_has_slack() -> None:
+    tight = msgspec.structs.replace(queue('tight', 0), slack=1.5)
+    loose = msgspec.structs.replace(queue('loose', 2), slack=4.0)
+    cell = Cell('new', 'known', config=configuration(tight, loose))
+    learn(cell, {'known': 1.0})
+    cell.submit('batch', step(1), queue='loose')
+    cell.submit('live', step(1), queue='tight')
+    groups = plan(cell).groups
+    placed = {group[0].run.task.step.job: group[0].worker for group in groups}
+    assert placed == {'live': 'known', 'batch': 'new'}
+
+
 def test_a_pass_over_a_full_cell_is_cheap() -> None:
     cell = Cell(*(f'w{number}' for number in range(24)))
     for number in range(24):
@@ -239,10 +248,10 @@
 def test_work_short_of_time_takes_the_fastest_worker() -> None:
     cell = Cell('fast', 'slow')
     cell.submit('fresh', step(1, expected_s=2.0), at=0.0)
-    health = learned({'fast': 0.8, 'slow': 1.6})
-    early = plan(cell, health=health, now=0.1).groups
+    learn(cell, {'fast': 0.8, 'slow': 1.6})
+    early = plan(cell, now=0.1).groups
     assert [group[0].worker for group in early] == ['slow']
-    late = plan(cell, health=health, now=2.5).groups
+    late = plan(cell, now=2.5).groups
     assert [group[0].worker for group in late] == ['fast']
 
 
@@ -252,7 +261,7 @@
     cell.start((run('j', 0, 0), 'bad'))
     cell.end(run('j', 0, 0), 'bad', RunEnd.FAILED)
     health = HealthBook()
-    health.ended(WorkerId('bad'), run('j', 0, 0), RunEnd.FAILED, 1.0, 0.0)
+    health.ended(WorkerId('bad'), run('j', 0, 0), RunEnd.FAILED, 0.0)
     groups = plan(cell, health=health, now=0.1).groups
     assert [group[0].worker for group in groups] == ['good']
     only_bad = frozenset((WorkerId('good'),))
--- a/libs/workflows/tests/test_state.py
+++ b/libs/workflows/tests/test_state.py
@@ -171,4 +171,31 @@
     assert cell.do(commands.PruneJobs(1.5)) == 1
 
 
+def test_a_learned_speed_survives_in_a_snapshot() -> None:
+    cell = Cell('w')
+    for number in range(4):
+        cell.submit(f'j{number}', step(1, expected_s=1.0))
+        cell.start((run(f'j{number}', 0, 0), 'w'))
+        end = commands.End(
+            run(f'j{number}', 0, 0), WorkerId('w'), RunEnd.DONE, '', 2.0
+        )
+        cell.do(commands.EndRuns([end], 1.0))
+    speed = cell.state.worker_by_id[WorkerId('w')].speed
+    assert 0.5 < speed.speed < 0.65
+    other = WorkState()
+    other.restore(cell.state.snapshot())
+    assert other.worker_by_id[WorkerId('w')].speed == speed
+    cell.do(commands.PutWorker(worker('w', born=2)))
+    assert not cell.state.worker_by_id[WorkerId('w')].speed.samples
+
+
+def test_a_gang_says_nothing_of_one_workers_speed() -> None:
+    cell = Cell('fast', 'slow')
+    cell.submit('j', step(2, expected_s=1.0, is_gang=True))
+    cell.start((run('j', 0, 0), 'fast'), (run('j', 0, 1), 'slow'))
+    end = commands.End(run('j', 0, 0), WorkerId('fast'), RunEnd.DONE, '', 4.0)
+    cell.do(commands.EndRuns([end], 1.0))
+    assert not cell.state.worker_by_id[WorkerId('fast')].speed.samples
+
+
 load_tests = function_tests(globals())
--- a/programs/cell/src/cassiahold/cell/workers.py
+++ b/programs/cell/src/cassiahold/cell/workers.py
@@ -25,7 +25,7 @@
 from cassiahold.workflows.health import HealthBook
 from cassiahold.workflows.model import RunEnd, RunKey, WorkerInfo
 from cassiahold.workflows.planning import Question
-from cassiahold.workflows.sessions import Findings, WorkerSession
+from cassiahold.workflows.sessions import WorkerSession
 from cassiahold.workflows.state import WorkState
 from cassiahold.workflows.timelines import Timelines
 
@@ -285,53 +285,45 @@
         if not findings.ends:
             session.last_seen = findings.newest_end
             return self._look(session, now)
+        ends = [self._completed(end) for end in findings.ends]
         return Proposal(
-            commands.encode_command(
-                commands.EndRuns(
-                    [self._with_checkpoint(end) for end in findings.ends],
-                    time.time(),
-                )
-            ),
-            lambda _: self._ends_stored(session, findings),
+            commands.encode_command(commands.EndRuns(ends, time.time())),
+            lambda _: self._ends_stored(session, ends, findings.newest_end),
         )
 
-    def _with_checkpoint(self, end: commands.End) -> commands.End:
+    def _completed(self, end: commands.End) -> commands.End:
         saved = end.saved or self._saved_by_run.get(end.run, '')
-        return commands.End(end.run, end.worker, end.how, saved)
+        took_s = self.health.took_s(end.run, steady())
+        return commands.End(end.run, end.worker, end.how, saved, took_s)
 
     def _ends_stored(
-        self, session: WorkerSession, findings: Findings
+        self, session: WorkerSession, ends: list[commands.End], newest: int
     ) -> LookOrder:
-        for end in findings.ends:
+        for end in ends:
             self._stopping.discard(end.run)
-            took_s = self._learn_from(end)
-            if end.how is RunEnd.FAILED:
-                self.timelines.failed(end.run.task.step.job)
-            self._metrics.incr(f'run_ended.{end.how.value}')
-            self._metrics.timing('run', took_s * _MS)
             self._saved_by_run.pop(end.run, None)
-            logs.info(
-                'run_ended',
-                job=end.run.task.step.job,
-                step=end.run.task.step.step,
-                task=end.run.task.number,
-                attempt=end.run.attempt,
-                worker=end.worker,
-                how=end.how.value,
-                took_s=took_s,
-                speed=self.health.speed_of(end.worker),
-            )
-        session.last_seen = findings.newest_end
+            self.health.ended(end.worker, end.run, end.how, steady())
+            self._note_end(end)
+        session.last_seen = newest
         return self._look(session, steady())
 
-    def _learn_from(self, end: commands.End) -> float:
-        record = self._state.job_by_id.get(end.run.task.step.job)
-        expected_s = 0.0
-        if record is not None and not end.saved:
-            spec = record.spec.steps[end.run.task.step.step]
-            expected_s = spec.expected_s
-        return self.health.ended(
-            end.worker, end.run, end.how, expected_s, steady()
+    def _note_end(self, end: commands.End) -> None:
+        key = end.run.task.step
+        if end.how is RunEnd.FAILED:
+            self.timelines.failed(key.job)
+        self._metrics.incr(f'run_ended.{end.how.value}')
+        self._metrics.timing('run', end.took_s * _MS)
+        worker = self._state.worker_by_id.get(end.worker)
+        logs.info(
+            'run_ended',
+            job=key.job,
+            step=key.step,
+            task=end.run.task.number,
+            attempt=end.run.attempt,
+            worker=end.worker,
+            how=end.how.value,
+            took_s=end.took_s,
+            speed=0.0 if worker is None else worker.speed.speed,
         )
 
     def _stop_unwanted(
