Renew a gang's tickets only once it fits; hold its room meanwhile

Change: workers are named once for a step, with room or without, until a gang knows enough of them; then it waits for room among those that it may use, and asks again only when it fits, with its room held until the answer. A gang holds room beyond that only when half of what it needs is free.

--- a/libs/workflows/src/cassiahold/workflows/advising.py
+++ b/libs/workflows/src/cassiahold/workflows/advising.py
@@ -42,6 +42,7 @@
 
 class _StepAdvice(msgspec.Struct):
     is_asking: bool = False
+    named: frozenset[WorkerId] = frozenset()
     ticket_by_worker: dict[WorkerId, Ticket] = msgspec.field(
         default_factory=dict
     )
@@ -70,6 +71,10 @@
         advice = self._advice_by_step.get(step)
         return advice is not None and worker in advice.denied
 
+    def is_known(self, step: StepKey, worker: WorkerId) -> bool:
+        """Tell whether an advisor has said anything of a worker."""
+        return self.is_allowed(step, worker) or self.is_denied(step, worker)
+
     def is_allowed(self, step: StepKey, worker: WorkerId) -> bool:
         """Tell whether a worker is known to be allowed."""
         advice = self._advice_by_step.get(step)
@@ -97,15 +102,25 @@
             return None
         return ticket if now < ticket.expires_at else None
 
-    def asked(self, step: StepKey) -> None:
-        """Record that a call about a step was sent."""
-        self._advice_by_step.setdefault(step, _StepAdvice()).is_asking = True
+    def asked(
+        self, step: StepKey, workers: typing.Iterable[WorkerInfo] = ()
+    ) -> None:
+        """Record that a call about a step and some workers was sent."""
+        advice = self._advice_by_step.setdefault(step, _StepAdvice())
+        advice.is_asking = True
+        advice.named = frozenset(worker.id for worker in workers)
+
+    def is_named(self, step: StepKey, worker: WorkerId) -> bool:
+        """Tell whether the call that is on its way is about a worker."""
+        advice = self._advice_by_step.get(step)
+        return advice is not None and worker in advice.named
 
     def failed(self, step: StepKey) -> None:
         """Record that a call brought no answer."""
         advice = self._advice_by_step.get(step)
         if advice is not None:
             advice.is_asking = False
+            advice.named = frozenset()
 
     def answered(
         self,
@@ -120,6 +135,7 @@
         if known is None:
             return
         known.is_asking = False
+        known.named = frozenset()
         fresh = 0
         for worker in named:
             fresh += int(worker.id not in known.allowed)
--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -3,13 +3,17 @@
 The most urgent gang that has to wait keeps the room of its allowed workers
 from the work behind it, so that a stream of small tasks does not starve it.
 Others keep nothing: several gangs that each hold a part of what they need
-leave the cell idle while none of them can start.
+leave the cell idle while none of them can start.  Once a gang fits into the
+room of workers that it may use, that room is kept while its tickets are
+renewed.
 
 A pass looks only at workers that can matter for a step: those that hold a
 ticket for it, or those with room when an advisor has to be asked.  A step
 that waits for its advisor costs nothing.
 """
 
+import bisect
+import itertools
 import math
 import typing
 
@@ -33,6 +37,8 @@
 from cassiahold.workflows.steps import startable_tasks
 from cassiahold.workflows.urgency import Backlog, Candidate
 
+SPARE_ROOM: typing.Final = 1.25  # of a gang, since urgent work goes first
+NEAR_SHARE: typing.Final = 0.5  # of a gang's room is free: it may hold it
 UNLIMITED: typing.Final = 1_000_000_000_000
 
 
@@ -200,44 +206,95 @@
     # Gangs.
 
     def _place_gang(self, candidate: Candidate, tasks: list[int]) -> None:
-        if self._within_limit(candidate, len(tasks)) < len(tasks):
+        count = len(tasks)
+        if self._within_limit(candidate, count) < count:
             return
-        rooms = self._usable_rooms(candidate)
-        if _capacity_of(candidate, rooms) >= len(tasks):
-            starts = self._fill(candidate, tasks)
-            self._plan.groups.append(starts)
+        if _capacity_of(candidate, self._usable_rooms(candidate)) >= count:
+            self._plan.groups.append(self._fill(candidate, tasks))
             return
-        self._ask(candidate, len(tasks))
-        self._hold_back(candidate, len(tasks))
-
-    def _hold_back(self, candidate: Candidate, tasks: int) -> None:
-        if self._is_holding:
+        chosen = self._enough_allowed(candidate, count)
+        if chosen:
+            # The tickets have lapsed; the room is kept until they are new.
+            self._hold(candidate, chosen, count)
+            self._ask_about(candidate, chosen)
             return
-        self._is_holding = True
+        self._discover(candidate, count)
+        allowed = self._rooms.of(self._advice.allowed(candidate.key))
+        # The room of a gang that is far from its start would lie idle.
+        is_near = _capacity_of(candidate, allowed) >= count * NEAR_SHARE
+        if is_near and not self._is_holding:
+            self._is_holding = True
+            self._hold(candidate, allowed, count)
+
+    def _enough_allowed(self, candidate: Candidate, tasks: int) -> list[Room]:
+        """Return allowed rooms that hold a whole gang, with some to spare."""
+        if candidate.queue.advisor is None:
+            return []
+        rooms = [
+            room
+            for room in self._rooms.of(self._advice.allowed(candidate.key))
+            if self._could_use(candidate, room)
+        ]
+        if _capacity_of(candidate, rooms) < tasks:
+            return []
+        rooms.sort(
+            key=lambda room: (
+                not self._advice.is_named(candidate.key, room.info.id),
+                rank(candidate, room),
+            )
+        )
+        wanted = math.ceil(tasks * SPARE_ROOM)
+        held = itertools.accumulate(
+            room.tasks_that_fit(candidate) for room in rooms
+        )
+        return rooms[: bisect.bisect_left(list(held), wanted) + 1]
+
+    def _hold(
+        self, candidate: Candidate, rooms: typing.Iterable[Room], tasks: int
+    ) -> None:
         left = tasks
-        for room in self._rooms.of(self._advice.allowed(candidate.key)):
-            fits = how_many_fit(candidate.spec.resources, room.free)
-            held = min(fits, left)
-            if held:
-                room.free -= candidate.spec.resources * held
-                left -= held
+        for room in rooms:
+            fits = min(room.tasks_that_fit(candidate), left)
+            if fits:
+                room.free -= candidate.spec.resources * fits
+                left -= fits
+
+    def _discover(self, candidate: Candidate, tasks: int) -> None:
+        """Ask about workers that were never named, with room or without."""
+        unknown = [
+            room
+            for room in self._rooms.everyone()
+            if room.may_run(candidate)
+            and not self._advice.is_known(candidate.key, room.info.id)
+        ]
+        fits_now = _capacity_of(candidate, unknown)
+        typical = max(fits_now / max(len(unknown), 1), 1)
+        unknown.sort(key=lambda room: breadth(candidate, room))
+        count = self._advice.how_many(
+            candidate.queue, math.ceil(tasks / typical)
+        )
+        self._ask_about(candidate, unknown[:count])
 
     # Advice.
 
     def _ask(self, candidate: Candidate, tasks: int) -> None:
-        if candidate.queue.advisor is None:
-            return
         if self._advice.is_asking(candidate.key):
             return
-        named = self._workers_to_name(candidate, tasks)
-        if named:
-            self._plan.questions.append(
-                Question(candidate.key, candidate.queue, tuple(named))
-            )
+        if candidate.queue.advisor is not None:
+            self._ask_about(candidate, self._rooms_to_name(candidate, tasks))
 
-    def _workers_to_name(
-        self, candidate: Candidate, tasks: int
-    ) -> list[WorkerInfo]:
+    def _ask_about(
+        self, candidate: Candidate, rooms: typing.Iterable[Room]
+    ) -> None:
+        named = tuple(room.info for room in rooms)
+        is_asking = self._advice.is_asking(candidate.key)
+        if candidate.queue.advisor is None or not named or is_asking:
+            return
+        self._plan.questions.append(
+            Question(candidate.key, candidate.queue, named)
+        )
+
+    def _rooms_to_name(self, candidate: Candidate, tasks: int) -> list[Room]:
         allowed: list[Room] = []
         unknown: list[Room] = []
         for room in self._rooms.with_cores(candidate.spec.resources):
@@ -255,9 +312,7 @@
             needed = math.ceil(left / typical)
             count = self._advice.how_many(candidate.queue, needed)
             allowed.extend(unknown[:count])
-        elif left > 0 and candidate.spec.is_gang:
-            return []
-        return [room.info for room in allowed]
+        return allowed
 
 
 def _capacity_of(candidate: Candidate, rooms: typing.Sequence[Room]) -> int:
--- a/libs/workflows/src/cassiahold/workflows/rooms.py
+++ b/libs/workflows/src/cassiahold/workflows/rooms.py
@@ -86,6 +86,10 @@
         found = (self._room_by_worker.get(worker) for worker in workers)
         return [room for room in found if room is not None]
 
+    def everyone(self) -> list[Room]:
+        """Return every room, those with most free cores first."""
+        return self._ordered
+
     def with_cores(self, wanted: Resources) -> list[Room]:
         """Return the rooms that had the wanted cores free at the start."""
         count = bisect.bisect_right(self._fullness, -wanted.cores_m)
--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -155,7 +155,7 @@
         self._metrics.timing('plan', (steady() - now) * _MS)
         self._metrics.incr('starts_planned', sum(map(len, plan.groups)))
         for question in plan.questions:
-            leading.advice.asked(question.step)
+            leading.advice.asked(question.step, question.workers)
             leading.board.timelines.asked(question.step.job, now)
             self._outlet.ask_advisor(question)
         if not plan.groups:
