Stop granting leases to silent workers; look at few workers at a time at first

Change: a look grants no lease once the worker has been silent for 1.5 s; after the next answer it does again. First looks of a term go out 16 at a time.

Tests: test_a_worker_that_stays_silent_is_given_up_while_it_is_looked_at and test_a_worker_that_answers_again_gets_leases_again fail on the version before. test_every_granted_lease_is_waited_for asked for a lease 20 s after the last answer, which is no longer granted; it now has an answer whose clock was overtaken, so that the sample is as old as before, with the same bounds.

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -95,12 +95,14 @@
     def is_usable(self, now: float) -> bool:
         """Tell whether new work may be sent."""
         return (
-            self.heard_at is not None
-            and now < self.heard_at + SILENT_S
+            not self._is_silent(now)
             and now >= self._sick_until
             and not self.info.is_draining
         )
 
+    def _is_silent(self, now: float) -> bool:
+        return self.heard_at is None or now >= self.heard_at + SILENT_S
+
     def is_dead(self, now: float) -> bool:
         """Tell whether every lease has surely lapsed."""
         return now >= self.dead_after
@@ -112,9 +114,11 @@
     def lease_until_ms(self, now: float) -> int | None:
         """Return the end of a lease granted now, on the worker's clock.
 
-        None while the clock is not known.
+        None while the clock is not known, and for a worker that has been
+        silent: a call that gets no answer may still have been carried out,
+        so each one would put off the time at which its leases have lapsed.
         """
-        if not self._is_clock_known:
+        if not self._is_clock_known or self._is_silent(now):
             return None
         passed_ms = max(now - self._clock_at, 0) * _MS
         until_ms = int(self._clock_ms + passed_ms + self._lease_s * _MS)
--- a/libs/workflows/tests/test_sessions.py
+++ b/libs/workflows/tests/test_sessions.py
@@ -102,6 +102,8 @@
 def test_every_granted_lease_is_waited_for() -> None:
     known = session()
     known.on_view(view(), (), 0.0, 0.1)
+    # An answer that was overtaken keeps the old sample of the clock.
+    known.on_view(WorkerView(1, 900, (), ()), (), 19.0, 19.5)
     until_ms = known.lease_until_ms(20.0)
     assert until_ms is not None
     assert until_ms <= 1000 + (20.0 - 0.1 + MAX_LEASE_S) * 1000
@@ -110,4 +112,24 @@
     assert not known.is_dead(slow_s)
 
 
+def test_a_worker_that_stays_silent_is_given_up_while_it_is_looked_at() -> None:
+    known = session()
+    known.on_view(view(), (), 0.0, 0.1)
+    now = 0.1
+    while now < 12.0:
+        known.lease_until_ms(now)
+        now += 0.1
+    # The last lease was granted at most 1.5 s after the last answer.
+    assert known.is_dead(1.7 + MAX_LEASE_S)
+
+
+def test_a_worker_that_answers_again_gets_leases_again() -> None:
+    known = session()
+    known.on_view(view(), (), 0.0, 0.1)
+    assert known.lease_until_ms(1.0) is not None
+    assert known.lease_until_ms(3.0) is None
+    known.on_view(view(), (), 3.1, 3.2)
+    assert known.lease_until_ms(3.3) is not None
+
+
 load_tests = function_tests(globals())
--- a/programs/cell/src/cassiahold/cell/outlet.py
+++ b/programs/cell/src/cassiahold/cell/outlet.py
@@ -25,6 +25,7 @@
 from cassiahold.workflows.model import RunKey, WorkerInfo
 from cassiahold.workflows.planning import Question
 
+FIRST_LOOKS: typing.Final = 16  # at a time: a new leader calls every worker
 START_TRIES: typing.Final = 4
 STOP_THREADS: typing.Final = 16
 STOP_TRIES: typing.Final = 8
@@ -50,6 +51,7 @@
             STOP_THREADS, thread_name_prefix='stop'
         )
         self._open_starts = _OpenStarts()
+        self._first_looks = threading.Semaphore(FIRST_LOOKS)
         self._ask: Ask = _not_attached
         self.lanes = AdviceLanes(advisor, self._report)
 
@@ -92,7 +94,10 @@
     # Threads.
 
     def _keep_looking(self, worker: WorkerInfo, fence: int) -> None:
-        order = self._report(local.NextLook(worker.id, fence))
+        with self._first_looks:
+            order = self._report(local.NextLook(worker.id, fence))
+            if isinstance(order, LookOrder):
+                order = self._report(self._look(order))
         while isinstance(order, LookOrder):
             order = self._report(self._look(order))
 
