Keep threads for agreement while every caller waits; refuse calls beyond

Each new leader met the same calls at once.

Change: an eighth of the threads takes no calls; a call beyond the others is refused at once (overloaded, not run). First looks go out 8 at a time.

Test: test_agreement_goes_on_while_every_caller_waits fails on the version before (the message times out).

--- a/libs/wire/src/cassiahold/wire/transport.py
+++ b/libs/wire/src/cassiahold/wire/transport.py
@@ -20,6 +20,7 @@
 MAX_MESSAGE_BYTES: typing.Final = 268_435_456  # 256 MiB
 MAX_QUEUED_ENVELOPES: typing.Final = 4096
 MAX_ENVELOPES_PER_CALL: typing.Final = 256
+RESERVED_SHARE: typing.Final = 8  # one thread in so many takes no calls
 MAX_RETIRED: typing.Final = 2  # replaced connections kept open
 # Shorter than an election, so that a silent connection is replaced in time.
 _DELIVER_TIMEOUT_S: typing.Final = 0.8
@@ -83,7 +84,11 @@
 
 
 class NodeServer:
-    """Listens for calls and agreement messages."""
+    """Listens for calls and agreement messages.
+
+    A call may wait for the group's agreement, so some threads are kept for
+    the messages that bring it about; calls beyond the others are refused.
+    """
 
     def __init__(
         self,
@@ -101,6 +106,8 @@
         self._metrics = metrics or SilentMetrics()
         self._handler = handler
         self._receiver = receiver
+        reserved = max(1, threads // RESERVED_SHARE)
+        self._free_calls = threading.Semaphore(max(1, threads - reserved))
         self._server = grpc.server(
             concurrent.futures.ThreadPoolExecutor(
                 threads, thread_name_prefix='call'
@@ -130,6 +137,15 @@
         )
 
     def _call(self, payload: bytes, _: typing.Any) -> bytes:
+        if not self._free_calls.acquire(blocking=False):
+            self._metrics.incr('calls_refused')
+            return _encode(Refusal(ErrorKind.OVERLOADED, 'too many calls'))
+        try:
+            return self._answer(payload)
+        finally:
+            self._free_calls.release()
+
+    def _answer(self, payload: bytes) -> bytes:
         try:
             call = self._codec.decode_call(payload)
         except msgspec.DecodeError as exc:
--- a/libs/wire/tests/test_transport.py
+++ b/libs/wire/tests/test_transport.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+from cassiahold.agreement.messages import Envelope, VoteRequest
 from cassiahold.core.conf.settings import TlsSettings
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import GroupName, ReplicaId
@@ -175,6 +176,46 @@
     assert outcomes.count(Changed(1)) == 1
 
 
+def test_agreement_goes_on_while_every_caller_waits() -> None:
+    address = free_address()
+    may_answer = threading.Event()
+    delivered = threading.Event()
+    outcomes: list[typing.Any] = []
+
+    def wait(group: GroupName, request: Request) -> Reply:
+        may_answer.wait(5.0)
+        return Changed(1)
+
+    node = NodeServer(
+        'test', address, PLAIN, 4, wait, lambda _: delivered.set()
+    )
+    with (
+        contextlib.closing(node),
+        contextlib.closing(Channel(address, PLAIN)) as channel,
+    ):
+        callers = [
+            threading.Thread(
+                target=lambda: outcomes.append(
+                    channel.call(GROUP, GetStatus(), 5.0)
+                )
+            )
+            for _ in range(8)
+        ]
+        for caller in callers:
+            caller.start()
+        time.sleep(0.3)
+        channel.deliver([Envelope(GROUP, A, B, VoteRequest(1, A, 0, 0))])
+        was_delivered = delivered.is_set()
+        may_answer.set()
+        for caller in callers:
+            caller.join()
+    assert was_delivered
+    refused = [reply for reply in outcomes if isinstance(reply, Refusal)]
+    # Callers beyond what can wait are told so at once.
+    assert {reply.kind for reply in refused} == {ErrorKind.OVERLOADED}
+    assert len(refused) == 5
+
+
 def test_an_address_in_use_is_named() -> None:
     address = free_address()
     with server(address, lambda *_: Changed(1)):
--- a/programs/cell/src/cassiahold/cell/outlet.py
+++ b/programs/cell/src/cassiahold/cell/outlet.py
@@ -25,7 +25,7 @@
 from cassiahold.workflows.model import RunKey, WorkerInfo
 from cassiahold.workflows.planning import Question
 
-FIRST_LOOKS: typing.Final = 16  # at a time: a new leader calls every worker
+FIRST_LOOKS: typing.Final = 8  # at a time: a new leader calls every worker
 START_TRIES: typing.Final = 4
 STOP_THREADS: typing.Final = 16
 STOP_TRIES: typing.Final = 8
