--- a/programs/cell/src/cassiahold/cell/node.py
+++ b/programs/cell/src/cassiahold/cell/node.py
@@ -80,7 +80,7 @@
                 self._start_replica(workers, advisor, metrics)
             server = NodeServer(
                 'cassiahold-cell',
-                settings.address,
+                settings.bind_address,
                 security,
                 settings.call_threads,
                 self._handle_group,
--- a/programs/cell/src/cassiahold/cell/settings.py
+++ b/programs/cell/src/cassiahold/cell/settings.py
@@ -40,6 +40,8 @@
     ``address`` and ``seeds`` are ``ip:port`` of the traffic between the
     cell's processes.  ``is_first_start`` is True only when the whole cell
     starts for the first time; then the seeds are the first voters.
+    ``listen_address`` is where the process listens when others reach it
+    at ``address`` through something in between.
     """
 
     host: HostName
@@ -55,6 +57,12 @@
     order_threads: int = ORDER_THREADS
     keep_finished_s: float = KEEP_FINISHED_S
     worker: WorkerBounds = WorkerBounds()
+    listen_address: str = ''
+
+    @property
+    def bind_address(self) -> str:
+        """Return where the process listens for the others."""
+        return self.listen_address or self.address
 
     @property
     def target_voters(self) -> int:
