--- a/programs/cell/src/cassiahold/cell/calling.py
+++ b/programs/cell/src/cassiahold/cell/calling.py
@@ -20,6 +20,8 @@
 PAUSE_S: typing.Final = 0.03
 LOCATE_TIMEOUT_S: typing.Final = 0.4
 LOCATE_INTERVAL_S: typing.Final = 1.0
+FRESH_S: typing.Final = 1.5  # a leader that answered since then is not sought
+MEMBERS_INTERVAL_S: typing.Final = 5.0  # between looks at the membership
 # Kinds that say that this replica cannot serve, but another may.
 _ELSEWHERE: typing.Final = frozenset(
     (ErrorKind.NO_QUORUM, ErrorKind.CUT_OFF, ErrorKind.LEAVING)
@@ -175,6 +177,10 @@
             logs.warning('leader_lost', silent_s=self.silent_s(), reason=reason)
 
     def _keep_locating(self) -> None:
+        located_at = -MEMBERS_INTERVAL_S
         while not self._stopped.is_set():
-            self.locate()
+            is_old = steady() >= located_at + MEMBERS_INTERVAL_S
+            if is_old or self.silent_s() >= FRESH_S:
+                self.locate()
+                located_at = steady()
             self._stopped.wait(LOCATE_INTERVAL_S)
