--- a/tools/bench/src/cassiahold/bench/experiments/runner.py
+++ b/tools/bench/src/cassiahold/bench/experiments/runner.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cassiahold.bench.experiments import (
+    advised,
     faults_at_work,
     live,
     packing,
@@ -31,6 +32,7 @@
     urgent: urgent.UrgentSettings
     live: live.LiveSettings
     faulty_workers: faults_at_work.FaultySettings
+    advised: advised.AdvisedSettings
 
 
 RUN_BY_NAME: typing.Final[
@@ -42,6 +44,7 @@
     'urgent': urgent.run,
     'live': live.run,
     'faulty_workers': faults_at_work.run,
+    'advised': advised.run,
 }
 
 
