--- a/programs/cell/src/cassiahold/cell/workers.py
+++ b/programs/cell/src/cassiahold/cell/workers.py
@@ -239,8 +239,7 @@
         if session is None:
             return local.SessionClosed()
         if request.is_other_incarnation:
-            # Another process holds the address: the worker has ended.
-            self._left_by_worker.setdefault(request.worker, now - LEFT_S)
+            self._note_replaced(request.worker, now)
             return local.SessionClosed()
         if request.view is None:
             return self._look(session, now, wait_s=0.0)
@@ -248,6 +247,10 @@
             return self._reborn(session, request.view.born)
         return self._take_view(session, request, now)
 
+    def _note_replaced(self, worker: WorkerId, now: float) -> None:
+        """Give a worker up: another process holds its address."""
+        self._left_by_worker.setdefault(worker, now - LEFT_S)
+
     def _reborn(self, session: WorkerSession, born: int) -> Proposal:
         info = msgspec.structs.replace(session.info, born=born)
         return Proposal(
@@ -421,6 +424,8 @@
     ) -> Proposal:
         if reply.answer is Answer.SICK:
             session.rest(now)
+        if reply.answer is Answer.GONE:
+            self._note_replaced(session.info.id, now)
         if reply.answer is Answer.NO_TICKET:
             self._advice.drop_ticket(run.task.step, session.info.id)
         end = commands.End(run, session.info.id, RunEnd.LOST)
--- a/programs/cell/tests/test_workers.py
+++ b/programs/cell/tests/test_workers.py
@@ -229,6 +229,17 @@
     assert WorkerId('w') not in made.service.state.worker_by_id
 
 
+def test_a_worker_whose_address_another_one_holds_gets_no_more_work() -> None:
+    made = leader('w')
+    submit(made, '/q/1')
+    (start,) = made.outlet.starts
+    gone = OrderReply(Answer.GONE)
+    made.ask(local.StartDone(WorkerId('w'), start.fence, start.run, gone))
+    made.work(steady() + 1)
+    assert len(made.outlet.starts) == 1
+    assert WorkerId('w') not in made.service.state.worker_by_id
+
+
 def test_keys_and_places_are_checked_by_the_version_in_force() -> None:
     made = leader('w')
     expect_error(ErrorKind.UNKNOWN_KEY, lambda: submit(made, '/q/1', 'none'))
