--- a/libs/workflows/src/cassiahold/workflows/health.py
+++ b/libs/workflows/src/cassiahold/workflows/health.py
@@ -112,9 +112,11 @@
             if len(health.failed_jobs) >= SUSPECT_JOBS:
                 self._rest(health, now)
 
-    def forget(self, worker: WorkerId) -> None:
-        """Forget a worker that is gone."""
+    def forget(self, worker: WorkerId, runs: typing.Iterable[RunKey]) -> None:
+        """Forget a worker that is gone and the runs that it had."""
         self._health_by_worker.pop(worker, None)
+        for run in runs:
+            self._progress_by_run.pop(run, None)
 
     def _note_place(self, place: _Place, now: float) -> None:
         self._failed_at_by_place[place] = now
--- a/programs/cell/src/cassiahold/cell/workers.py
+++ b/programs/cell/src/cassiahold/cell/workers.py
@@ -8,6 +8,7 @@
 from cassiahold.agreement.replica import Proposal
 from cassiahold.cell import local_requests as local
 from cassiahold.cell import requests
+from cassiahold.cell.beats import BeatBook
 from cassiahold.cell.ports import (
     Answer,
     LookOrder,
@@ -50,11 +51,6 @@
         """Queue a call to the advisor."""
 
 
-class _Beat(msgspec.Struct):
-    born: int
-    sequence: int
-
-
 class WorkerBoard:
     """Every worker as the leader sees it."""
 
@@ -75,7 +71,7 @@
         self._metrics = metrics
         self._fences = 0
         self._session_by_worker: dict[WorkerId, WorkerSession] = {}
-        self._beat_by_worker: dict[WorkerId, _Beat] = {}
+        self._beats = BeatBook()
         self._left_by_worker: dict[WorkerId, float] = {}
         self._stopping: set[RunKey] = set()
         self._saved_by_run: dict[RunKey, str] = {}
@@ -127,6 +123,7 @@
     def _last_checkpoints(self, worker_id: WorkerId) -> commands.EndRuns:
         record = self._state.worker_by_id.get(worker_id)
         runs = () if record is None else tuple(record.runs)
+        self.health.forget(worker_id, runs)
         ends = [
             commands.End(
                 run,
@@ -178,9 +175,9 @@
         """Take a heartbeat; an overtaken one changes nothing."""
         info = request.info
         known = self._state.worker_by_id.get(info.id)
-        if self._is_overtaken(request):
+        if self._beats.is_overtaken(info, request.sequence, known):
             return self._beaten()
-        self._beat_by_worker[info.id] = _Beat(info.born, request.sequence)
+        self._beats.take(info, request.sequence)
         if known is not None and known.info == info:
             if info.id not in self._session_by_worker:
                 self._open(info, now)
@@ -207,16 +204,6 @@
             logs.info('worker_left', worker=request.id, born=request.born)
         return requests.Acknowledged()
 
-    def _is_overtaken(self, request: requests.WorkerBeat) -> bool:
-        info = request.info
-        known = self._state.worker_by_id.get(info.id)
-        if known is not None and info.born < known.info.born:
-            return True
-        newest = self._beat_by_worker.get(info.id)
-        if newest is None:
-            return False
-        return (info.born, request.sequence) < (newest.born, newest.sequence)
-
     def _beaten(self) -> requests.BeatAccepted:
         return requests.BeatAccepted(self._settings.address)
 
