Send callers elsewhere sooner where no leader can be reached

Cause: in a data centre that is cut off a gateway stayed ready for 2.5 s after the leader's last answer; with the balancer's two misses callers came to it for 3.5 to 4.5 s of a cut of 5.5 s, though it could serve none of them. Change: ready for 1.5 s after the last answer (one touch of 1 s missed); requests that come all the same are refused as before. An election (1.2 s) is too short for two misses.

--- a/programs/cell/src/cassiahold/cell/node.py
+++ b/programs/cell/src/cassiahold/cell/node.py
@@ -30,6 +30,7 @@
 from cassiahold.cell.settings import (
     GROUP,
     LEADER_SILENT_S,
+    READY_SILENT_S,
     SNAPSHOT_BYTES,
     SNAPSHOT_RECORDS,
     CellSettings,
@@ -97,6 +98,15 @@
         """Tell whether the replica, if there is one, is running."""
         return self._replica is None or self._replica.is_alive()
 
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether a leader has answered this process lately.
+
+        Sooner than requests are refused: where the leader cannot be
+        reached, a balancer should send callers to another data centre.
+        """
+        return self.caller.silent_s() < READY_SILENT_S
+
     def close(self) -> None:
         """Stop listening, then the replica, then the disk."""
         self._stopped.set()
--- a/programs/cell/src/cassiahold/cell/settings.py
+++ b/programs/cell/src/cassiahold/cell/settings.py
@@ -19,6 +19,7 @@
 ORDER_TIMEOUT_S: typing.Final = 0.4  # one try of a start or a stop
 LOOK_WAIT_S: typing.Final = 1.0  # how long a worker may wait for an end
 LOOK_SLACK_S: typing.Final = 0.5  # beyond the wait, until a look has failed
+READY_SILENT_S: typing.Final = 1.5  # one touch missed: callers go elsewhere
 LEADER_SILENT_S: typing.Final = 2.2  # two touches missed: refuse at once
 KEEP_FINISHED_S: typing.Final = 180.0
 
