Let fault runs part a leader from one follower while nothing is proposed

Change: after a calm, runs now part the leader from one voter and propose nothing, so that only the promise to the leader keeps others from voting. The check and its bound are as they were.

--- a/tools/bench/src/cassiahold/bench/faults/agreement.py
+++ b/tools/bench/src/cassiahold/bench/faults/agreement.py
@@ -28,6 +28,7 @@
 PACE: typing.Final = Pace(heartbeat_s=0.06, election_s=0.3, clock_drift=0.05)
 TICK_S: typing.Final = 0.02
 MAX_IN_FLIGHT: typing.Final = 400
+WORK_PART: typing.Final = 0.2  # of the ticks bring proposals
 
 
 class Disk(msgspec.Struct):
@@ -105,13 +106,40 @@
     )
     def storm(self, seed: int, ticks: int, trouble: float, loss: float) -> None:
         """Let time pass with faults of every kind."""
+        self._let_pass(random.Random(seed), ticks, trouble, loss, WORK_PART)
+
+    @rule(seed=st.integers(0, 1 << 30))
+    def lose_a_follower(self, seed: int) -> None:
+        """Cut a leader and one voter apart while nothing is proposed.
+
+        The voter's log stays as new as the others', who still hear the
+        leader: only their promise to it keeps them from voting.
+        """
         generator = random.Random(seed)
+        leaders = self.leaders()
+        if not leaders:
+            return
+        leader = leaders[-1]
+        assert leader.node is not None
+        other = generator.choice(leader.node.membership.voters)
+        self.cut = {(leader.name, other), (other, leader.name)}
+        self.heal_at = self.now + generator.choice((0.5, 1.0, 1.5))
+        self._let_pass(generator, 80, 0.0, 0.0, 0.0)
+
+    def _let_pass(
+        self,
+        generator: random.Random,
+        ticks: int,
+        trouble: float,
+        loss: float,
+        work: float,
+    ) -> None:
         for _ in range(ticks):
             self.now += TICK_S
             self._repair_due()
             if generator.random() < trouble:
                 self._make_trouble(generator)
-            if generator.random() < 0.2:
+            if generator.random() < work:
                 self.propose(generator.randrange(1, 4))
             for replica in self.replica_by_name.values():
                 if replica.node is not None:
@@ -130,6 +158,7 @@
         )
         if generator.random() < 0.3:
             self.calm()
+            self.lose_a_follower(generator.randrange(1 << 30))
 
     def verify(self) -> None:
         """Check elections and logs."""
