Hold room for gangs without an advisor; name at most 100 workers

Cause: read again as a newcomer: the room of a waiting gang was held only on workers that an advisor had allowed, so a gang on a queue without one could be starved by small work; renewing the tickets of a very wide gang could name more workers than an advisor takes, which it refuses; and a gang whose call was on its way ranked every worker in each pass for nothing.

--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -21,7 +21,7 @@
 
 from cassiahold.core.ids import TeamName, WorkerId
 from cassiahold.core.resources import NOTHING, Resources
-from cassiahold.workflows.advising import AdviceBook
+from cassiahold.workflows.advising import MAX_NAMED, AdviceBook
 from cassiahold.workflows.commands import Start
 from cassiahold.workflows.configuration import QueuePolicy
 from cassiahold.workflows.health import HealthBook
@@ -219,7 +219,7 @@
             self._ask_about(candidate, chosen)
             return
         self._discover(candidate, count)
-        allowed = self._rooms.of(self._advice.allowed(candidate.key))
+        allowed = self._allowed_rooms(candidate)
         # The room of a gang that is far from its start would lie idle.
         is_near = _capacity_of(candidate, allowed) >= count * NEAR_SHARE
         if is_near and not self._is_holding:
@@ -232,7 +232,7 @@
             return []
         rooms = [
             room
-            for room in self._rooms.of(self._advice.allowed(candidate.key))
+            for room in self._allowed_rooms(candidate)
             if self._could_use(candidate, room)
         ]
         if _capacity_of(candidate, rooms) < tasks:
@@ -249,6 +249,15 @@
         )
         return rooms[: bisect.bisect_left(list(held), wanted) + 1]
 
+    def _allowed_rooms(self, candidate: Candidate) -> list[Room]:
+        if candidate.queue.advisor is None:
+            return [
+                room
+                for room in self._rooms.with_cores(candidate.spec.resources)
+                if room.may_run(candidate)
+            ]
+        return self._rooms.of(self._advice.allowed(candidate.key))
+
     def _hold(
         self, candidate: Candidate, rooms: typing.Iterable[Room], tasks: int
     ) -> None:
@@ -261,6 +270,9 @@
 
     def _discover(self, candidate: Candidate, tasks: int) -> None:
         """Ask about workers that were never named, with room or without."""
+        is_asking = self._advice.is_asking(candidate.key)
+        if candidate.queue.advisor is None or is_asking:
+            return
         unknown = [
             room
             for room in self._rooms.everyone()
@@ -286,7 +298,7 @@
     def _ask_about(
         self, candidate: Candidate, rooms: typing.Iterable[Room]
     ) -> None:
-        named = tuple(room.info for room in rooms)
+        named = tuple(room.info for room in itertools.islice(rooms, MAX_NAMED))
         is_asking = self._advice.is_asking(candidate.key)
         if candidate.queue.advisor is None or not named or is_asking:
             return
--- a/libs/workflows/tests/test_planning.py
+++ b/libs/workflows/tests/test_planning.py
@@ -181,6 +181,34 @@
     assert [group[0].worker for group in groups] == ['x'] * 4
 
 
+def test_small_work_does_not_starve_a_gang_without_an_advisor() -> None:
+    settings = configuration(queue('gangs', 1), queue('small', 2))
+    cell = Cell('w', 'x', config=settings)
+    cell.submit('gang', step(9, is_gang=True), queue='gangs')
+    cell.submit('small', step(8), queue='small')
+    assert not plan(cell, now=0.1).groups
+
+
+def test_a_call_names_no_more_workers_than_advisors_take() -> None:
+    names = [f'w{number}' for number in range(150)]
+    cell = Cell(*names, config=configuration(queue(advised=True)))
+    cell.submit('gang', step(600, is_gang=True))
+    advice = AdviceBook()
+    (first,) = plan(cell, advice).questions
+    assert len(first.workers) <= 100
+    advice.asked(first.step)
+    infos = [each.info for each in cell.state.worker_by_id.values()]
+    advice.answered(
+        first.step,
+        QueueName('plans'),
+        infos,
+        Advice({info.id: 'token' for info in infos}, 0.3),
+        0.0,
+    )
+    (renewal,) = plan(cell, advice, now=5.0).questions
+    assert len(renewal.workers) <= 100
+
+
 def test_a_team_without_room_does_not_hold_back_others() -> None:
     cell = Cell('w', config=configuration(limit=Resources(cores_m=1)))
     cell.submit('j', step(4))
