Choose promising workers in one place; rank usable rooms once for a gang

Read again: the choice of unknown workers to name stood twice (for gangs and for single tasks), the guard whether an advisor may be asked three times, and a gang that fits ranked its rooms twice in a pass.

--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -141,15 +141,18 @@
         allowed = self._within_limit(candidate, len(tasks))
         if not allowed:
             return
-        starts = self._fill(candidate, tasks[:allowed])
+        rooms = self._usable_rooms(candidate)
+        starts = self._fill(candidate, tasks[:allowed], rooms)
         self._plan.groups.extend([start] for start in starts)
         if len(starts) < allowed:
             self._ask(candidate, allowed - len(starts))
 
-    def _fill(self, candidate: Candidate, tasks: list[int]) -> list[Start]:
+    def _fill(
+        self, candidate: Candidate, tasks: list[int], rooms: list[Room]
+    ) -> list[Start]:
         starts: list[Start] = []
         left = list(reversed(tasks))
-        for room in self._usable_rooms(candidate):
+        for room in rooms:
             while left and room.has_room(candidate):
                 starts.append(self._take(candidate, left.pop(), room))
             if not left:
@@ -209,8 +212,9 @@
         count = len(tasks)
         if self._within_limit(candidate, count) < count:
             return
-        if _capacity_of(candidate, self._usable_rooms(candidate)) >= count:
-            self._plan.groups.append(self._fill(candidate, tasks))
+        rooms = self._usable_rooms(candidate)
+        if _capacity_of(candidate, rooms) >= count:
+            self._plan.groups.append(self._fill(candidate, tasks, rooms))
             return
         chosen = self._enough_allowed(candidate, count)
         if chosen:
@@ -270,8 +274,7 @@
 
     def _discover(self, candidate: Candidate, tasks: int) -> None:
         """Ask about workers that were never named, with room or without."""
-        is_asking = self._advice.is_asking(candidate.key)
-        if candidate.queue.advisor is None or is_asking:
+        if not self._may_ask(candidate):
             return
         unknown = [
             room
@@ -279,32 +282,28 @@
             if room.may_run(candidate)
             and not self._advice.is_known(candidate.key, room.info.id)
         ]
-        fits_now = _capacity_of(candidate, unknown)
-        typical = max(fits_now / max(len(unknown), 1), 1)
-        unknown.sort(key=lambda room: breadth(candidate, room))
-        count = self._advice.how_many(
-            candidate.queue, math.ceil(tasks / typical)
-        )
-        self._ask_about(candidate, unknown[:count])
+        self._ask_about(candidate, self._promising(candidate, unknown, tasks))
 
     # Advice.
 
     def _ask(self, candidate: Candidate, tasks: int) -> None:
-        if self._advice.is_asking(candidate.key):
-            return
-        if candidate.queue.advisor is not None:
+        if self._may_ask(candidate):
             self._ask_about(candidate, self._rooms_to_name(candidate, tasks))
 
+    def _may_ask(self, candidate: Candidate) -> bool:
+        return (
+            candidate.queue.advisor is not None
+            and not self._advice.is_asking(candidate.key)
+        )
+
     def _ask_about(
         self, candidate: Candidate, rooms: typing.Iterable[Room]
     ) -> None:
         named = tuple(room.info for room in itertools.islice(rooms, MAX_NAMED))
-        is_asking = self._advice.is_asking(candidate.key)
-        if candidate.queue.advisor is None or not named or is_asking:
-            return
-        self._plan.questions.append(
-            Question(candidate.key, candidate.queue, named)
-        )
+        if named and self._may_ask(candidate):
+            self._plan.questions.append(
+                Question(candidate.key, candidate.queue, named)
+            )
 
     def _rooms_to_name(self, candidate: Candidate, tasks: int) -> list[Room]:
         allowed: list[Room] = []
@@ -317,15 +316,23 @@
             elif not self._advice.is_denied(candidate.key, room.info.id):
                 unknown.append(room)
         left = tasks - _capacity_of(candidate, allowed)
-        if left > 0 and unknown:
-            unknown.sort(key=lambda room: breadth(candidate, room))
-            # The workers behind the last one named add little.
-            typical = max(_capacity_of(candidate, unknown) / len(unknown), 1)
-            needed = math.ceil(left / typical)
-            count = self._advice.how_many(candidate.queue, needed)
-            allowed.extend(unknown[:count])
+        if left > 0:
+            allowed.extend(self._promising(candidate, unknown, left))
         return allowed
 
+    def _promising(
+        self, candidate: Candidate, unknown: list[Room], tasks: int
+    ) -> list[Room]:
+        """Return unknown rooms that are expected to cover some tasks.
+
+        The workers behind the last one returned would add little.
+        """
+        fits_now = _capacity_of(candidate, unknown)
+        typical = max(fits_now / max(len(unknown), 1), 1)
+        unknown.sort(key=lambda room: breadth(candidate, room))
+        needed = math.ceil(tasks / typical)
+        return unknown[: self._advice.how_many(candidate.queue, needed)]
+
 
 def _capacity_of(candidate: Candidate, rooms: typing.Sequence[Room]) -> int:
     return sum(room.tasks_that_fit(candidate) for room in rooms)
