Acknowledge ends of a worker only right after its reply

Cause: each incarnation of a worker numbers its ends anew, and a poll cannot name the incarnation it means.

Change: WorkerSession.end_to_acknowledge gives the number only within half a second after a reply and never after a poll without one; until the next reply a poll acknowledges nothing.

Result: test_unnoticed_restart_does_not_lose_ends and test_ends_are_acknowledged_only_right_after_a_reply; the first fails before the change (acknowledged 4, expected 0).

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -20,6 +20,8 @@
 LEASE_MARGIN_S: typing.Final = 0.3  # added to the computed end of a lease
 LEASE_SHARE: typing.Final = 0.85  # of the longest lease that workers accept
 SILENCE_TIMEOUT_S: typing.Final = 1.5  # no new work without a reply this long
+# Less than a worker takes to restart, run an attempt and list its end.
+ACKNOWLEDGEMENT_WINDOW_S: typing.Final = 0.5
 UNHEALTHY_PAUSE_S: typing.Final = 1.0  # after a refusal as unhealthy
 _MS: typing.Final = 1000
 
@@ -87,6 +89,7 @@
         self.fence = fence
         self.last_stored_end = 0
         self.last_reply_at: float | None = None
+        self._acknowledge_until = now
         # An earlier leader may have granted a full lease just before.
         self.leases_expire_at = (
             now + max_lease_s / (1 - MAX_CLOCK_DRIFT) + LEASE_MARGIN_S
@@ -176,6 +179,21 @@
 
     # Polls.
 
+    def end_to_acknowledge(self, now: float) -> int:
+        """Return the number up to which the worker may discard its ends.
+
+        Each incarnation numbers its ends anew, and a poll cannot say which
+        one it means.  So ends are acknowledged only right after a reply: a
+        later poll may reach an incarnation that has restarted unnoticed and
+        would discard ends that nobody has read.  Returns 0, which discards
+        nothing, until the next reply.
+        """
+        return self.last_stored_end if now < self._acknowledge_until else 0
+
+    def record_poll_failed(self) -> None:
+        """Record that a poll got no reply: the worker may have restarted."""
+        self._acknowledge_until = 0.0
+
     def reconcile(
         self,
         reply: PollReply,
@@ -190,6 +208,7 @@
         """
         is_first_reply = not self.has_replied
         self.last_reply_at = now
+        self._acknowledge_until = now + ACKNOWLEDGEMENT_WINDOW_S
         self.record_clock(reply.clock_ms, now)
         findings = PollFindings()
         running_attempts = {row.attempt for row in reply.running}
--- a/libs/workflows/tests/test_sessions.py
+++ b/libs/workflows/tests/test_sessions.py
@@ -45,6 +45,21 @@
     ]
 
 
+def test_ends_are_acknowledged_only_right_after_a_reply() -> None:
+    session = make_session()
+    attempt = attempt_key('j', 0, 0)
+    ended = EndedAttempt(7, attempt, AttemptOutcome.DONE, '')
+    findings = session.reconcile(make_reply(ended=(ended,)), (), 0.0, 0.1)
+    session.last_stored_end = findings.newest_end_number
+    assert session.end_to_acknowledge(0.2) == 7
+    # The leader was suspended: the worker may have restarted meanwhile.
+    assert session.end_to_acknowledge(3.0) == 0
+    session.reconcile(make_reply(), (), 3.0, 3.1)
+    assert session.end_to_acknowledge(3.2) == 7
+    session.record_poll_failed()
+    assert session.end_to_acknowledge(3.2) == 0
+
+
 def test_start_without_reply_may_run_until_stop_is_confirmed() -> None:
     session = make_session()
     session.reconcile(make_reply(), (), 0.0, 0.1)
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -260,6 +260,7 @@
             self._mark_replaced(request.worker, now)
             return local.SessionClosed()
         if request.reply is None:
+            session.record_poll_failed()
             return self._next_poll(session, now, max_wait_s=0.0)
         if request.reply.incarnation not in {0, session.info.incarnation}:
             return self._update_incarnation(session, request.reply.incarnation)
@@ -408,7 +409,7 @@
         return PollRequest(
             session.info,
             session.fence,
-            session.last_stored_end,
+            session.end_to_acknowledge(now),
             session.lease_until_ms(now),
             max_wait_s if session.has_replied else 0.0,
         )
--- a/programs/cell/tests/test_worker_sessions.py
+++ b/programs/cell/tests/test_worker_sessions.py
@@ -165,6 +165,24 @@
     assert leader.job_state('/q/1') is JobState.COMPLETE
 
 
+def test_unnoticed_restart_does_not_lose_ends() -> None:
+    # Soak seed 61: a worker restarts under its id while its heartbeats are
+    # cut.  A poll that acknowledged an end of the earlier incarnation made the
+    # new one discard its own ends, and their attempts ran a second time.
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    ended = EndedAttempt(4, start.attempt, AttemptOutcome.DONE, '')
+    poll = leader.reply_to_poll('w', ended=(ended,))
+    assert poll.last_stored_end == 4
+    poll = leader.handle(
+        local.PollDone(WorkerId('w'), poll.fence, None, boottime_s())
+    )
+    assert poll.last_stored_end == 0
+    poll = leader.reply_to_poll('w')
+    assert poll.last_stored_end == 4
+
+
 def test_new_leader_starts_nothing_before_a_poll_under_its_fence() -> None:
     leader = make_leader('w')
     first_fence = leader.sender.fence_by_worker[WorkerId('w')]
