Keep the replica running when a request fails unexpectedly

Cause: an exception other than CassiaholdError in the handling of one request ended the replica's actor, and with it the process that leads.

Change: such a request is answered as an internal error and logged; the replica goes on. Only commands change the replicated state, so nothing is half done.

Result: test_unexpected_error_of_a_request_does_not_stop_the_replica fails before (the actor is dead, the call waits for its time-out) and passes.

--- a/libs/agreement/src/cassiahold/agreement/replica.py
+++ b/libs/agreement/src/cassiahold/agreement/replica.py
@@ -264,12 +264,31 @@
         except CassiaholdError as exc:
             call.future.set_exception(exc)
             return
+        except Exception as exc:  # noqa: BLE001
+            # One request must not stop the replica for all others.  Only
+            # commands change the replicated state, and none was proposed.
+            self._fail_faulty_call(call, exc)
+            return
         if isinstance(reply, Proposal):
             self._proposals.append(reply)
             self._proposal_futures.append(call.future)
         else:
             call.future.set_result(reply)
 
+    def _fail_faulty_call(self, call: Call, exc: Exception) -> None:
+        request = type(call.request).__name__
+        logs.error(
+            'request_handler_failed',
+            group=self._setup.group,
+            request=request,
+            error=repr(exc),
+        )
+        call.future.set_exception(
+            CassiaholdError(
+                ErrorKind.INTERNAL, f'{request}: {type(exc).__name__}'
+            )
+        )
+
     def handle_membership_change(self, change: ChangeMembership) -> None:
         """Propose a membership change; the reply follows its commit."""
         try:
--- /dev/null
+++ b/libs/agreement/tests/test_replica.py
@@ -0,0 +1,101 @@
+"""Tests of the actor of one replica."""
+
+import concurrent.futures
+import contextlib
+import pathlib
+import tempfile
+import typing
+
+from cassiahold.agreement.messages import Envelope, Membership
+from cassiahold.agreement.node import RaftTiming
+from cassiahold.agreement.replica import Call, Replica, ReplicaSetup, Tick
+from cassiahold.agreement.storage import ReplicaStorage
+from cassiahold.core.exceptions import CassiaholdError, ErrorKind
+from cassiahold.core.ids import GroupName, ReplicaId
+from cassiahold.core.testing import function_tests
+from cassiahold.journal import Journal
+
+REPLICA = ReplicaId('a')
+REPLY_TIMEOUT_S = 5.0
+
+
+class FaultyService:
+    """A service whose handler raises what a request names."""
+
+    def apply(self, payload: bytes) -> typing.Any:
+        return payload
+
+    def snapshot(self) -> bytes:
+        return b''
+
+    def restore(self, state: bytes) -> None:
+        raise AssertionError('nothing is stored')
+
+    def start_leading(self, term: int, now: float) -> None:
+        """Nothing to do."""
+
+    def stop_leading(self) -> None:
+        """Nothing to do."""
+
+    def due_commands(self, now: float) -> list[bytes]:
+        return []
+
+    def handle_request(self, request: typing.Any, now: float) -> typing.Any:
+        if isinstance(request, Exception):
+            raise request
+        return request
+
+
+class NoPeers:
+    """Transport of a group of one replica."""
+
+    def send(self, envelopes: list[Envelope]) -> None:
+        raise AssertionError('the group has no other replica')
+
+
+@contextlib.contextmanager
+def single_replica() -> typing.Iterator[typing.Any]:
+    with tempfile.TemporaryDirectory() as folder:
+        replica = Replica.start(
+            ReplicaSetup(
+                GroupName('g'),
+                REPLICA,
+                Membership((REPLICA,)),
+                RaftTiming(0.02, 0.05),
+                max_log_records=100,
+                max_log_bytes=1000,
+                seed=1,
+            ),
+            ReplicaStorage(Journal(pathlib.Path(folder))),
+            FaultyService(),
+            NoPeers(),
+        )
+        try:
+            yield replica
+        finally:
+            replica.stop()
+
+
+def ask(replica: typing.Any, request: typing.Any) -> typing.Any:
+    """Return the reply, or the kind of the error, once the replica leads."""
+    while True:
+        future: concurrent.futures.Future[typing.Any] = (
+            concurrent.futures.Future()
+        )
+        replica.tell(Tick())
+        replica.tell(Call(request, future))
+        try:
+            return future.result(REPLY_TIMEOUT_S)
+        except CassiaholdError as exc:
+            if exc.kind is not ErrorKind.NO_QUORUM:
+                return exc.kind
+
+
+def test_unexpected_error_of_a_request_does_not_stop_the_replica() -> None:
+    with single_replica() as replica:
+        assert ask(replica, 'first') == 'first'
+        assert ask(replica, KeyError('worker')) is ErrorKind.INTERNAL
+        assert ask(replica, 'second') == 'second'
+
+
+load_tests = function_tests(globals())
