Index the workers only in passes that place something

Each pass copied and sorted every worker, also when all steps waited for their first advice.

Change: the index is made when the first step needs it.

--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -16,6 +16,7 @@
 """
 
 import bisect
+import functools
 import itertools
 import math
 import typing
@@ -118,17 +119,22 @@
         self._advisor_replies = advisor_replies
         self._health = health
         self._now = context.now
-        self._capacity_index = CapacityIndex(
+        self._usable_workers = context.usable_workers
+        self._planned_usage_by_team: dict[TeamName, Resources] = {}
+        self._has_gang_reservation = False
+        self._plan = Plan()
+
+    @functools.cached_property
+    def _capacity_index(self) -> CapacityIndex:
+        """The usable workers; a pass that places nothing does not need it."""
+        return CapacityIndex(
             (
                 worker
-                for worker in state.worker_by_id.values()
-                if worker.info.id in context.usable_workers
+                for worker in self._state.worker_by_id.values()
+                if worker.info.id in self._usable_workers
             ),
-            health,
+            self._health,
         )
-        self._planned_usage_by_team: dict[TeamName, Resources] = {}
-        self._has_gang_reservation = False
-        self._plan = Plan()
 
     def run(self, candidates: list[Candidate]) -> Plan:
         """Place the tasks of every candidate or query its advisor."""
