Close a replaced connection only when no call uses it

Cause: a call that times out replaces its channel's connection, and only two replaced connections stayed open. The third replacement closed the first one and cancelled the calls in progress on it, which then ended as outcome unknown. That is the known failure of test_timeouts_do_not_abort_other_calls_on_the_connection: beside load its calls start late enough for three replacements.

Change: a connection counts its calls and is closed with the last one after it was replaced. All calls have time-outs, so their number stays bounded. The same holds when certificates change; such a connection was never closed.

Result: test_connections_replaced_repeatedly_keep_their_calls brings it about without load: it fails before and passes.

--- a/libs/wire/src/cassiahold/wire/transport.py
+++ b/libs/wire/src/cassiahold/wire/transport.py
@@ -26,7 +26,6 @@
 MAX_ENVELOPES_PER_BATCH: typing.Final = 256
 # One server thread in this many serves no calls, only replica messages.
 THREADS_PER_RESERVED_THREAD: typing.Final = 8
-MAX_RETIRED_CONNECTIONS: typing.Final = 2  # replaced connections kept open
 # Shorter than an election timeout, so that a connection that went silent is
 # replaced before an election starts.
 _DELIVERY_TIMEOUT_S: typing.Final = 0.8
@@ -174,6 +173,55 @@
         return b''
 
 
+class _Connection:
+    """A gRPC channel that closes once it is retired and no call uses it.
+
+    Closing a gRPC channel cancels the calls in progress on it.
+    """
+
+    def __init__(self, grpc_channel: typing.Any) -> None:
+        self._grpc_channel = grpc_channel
+        self._lock = threading.Lock()
+        self._calls_in_progress = 0
+        self._is_retired = False
+
+    def call(self, method: str, payload: bytes, timeout_s: float) -> bytes:
+        """Return the reply to one unary call.
+
+        Raises ``grpc.RpcError``, and ``ValueError`` on a closed channel.
+        """
+        with self._lock:
+            self._calls_in_progress += 1
+        try:
+            return typing.cast(
+                bytes,
+                self._grpc_channel.unary_unary(method)(
+                    payload, timeout=timeout_s
+                ),
+            )
+        finally:
+            self._finish_call()
+
+    def retire(self) -> None:
+        """Close the channel when the last call on it has ended."""
+        with self._lock:
+            self._is_retired = True
+            is_idle = not self._calls_in_progress
+        if is_idle:
+            self._grpc_channel.close()
+
+    def close(self) -> None:
+        """Close the channel at once."""
+        self._grpc_channel.close()
+
+    def _finish_call(self) -> None:
+        with self._lock:
+            self._calls_in_progress -= 1
+            is_unused = self._is_retired and not self._calls_in_progress
+        if is_unused:
+            self._grpc_channel.close()
+
+
 class Channel:
     """A client connection to one process.
 
@@ -191,11 +239,7 @@
         self._security = security
         self._lock = threading.Lock()
         self._certificate_mtime = -1.0
-        self._current_connection: typing.Any = None
-        # Replaced connections on which calls may still be in progress.
-        self._retired_connections: collections.deque[typing.Any] = (
-            collections.deque()
-        )
+        self._current_connection: _Connection | None = None
 
     def call(
         self,
@@ -212,9 +256,7 @@
         connection = self._open_connection()
         payload = _encode(CallEnvelope(group, request, traceparent))
         try:
-            raw_reply = connection.unary_unary(_CALL_METHOD)(
-                payload, timeout=timeout_s
-            )
+            raw_reply = connection.call(_CALL_METHOD, payload, timeout_s)
         except grpc.RpcError as exc:
             raise self._error_for(exc, connection) from exc
         return self._codec.decode_reply(raw_reply)
@@ -226,46 +268,45 @@
         ``OUTCOME_UNKNOWN`` when they may have.
         """
         connection = self._open_connection()
-        stub = connection.unary_unary(_DELIVER_METHOD)
         payload = _encode(EnvelopeBatch(envelopes))
         try:
-            stub(payload, timeout=_DELIVERY_TIMEOUT_S)
+            connection.call(_DELIVER_METHOD, payload, _DELIVERY_TIMEOUT_S)
         except grpc.RpcError as exc:
             raise self._error_for(exc, connection) from exc
 
     def close(self) -> None:
-        """Close the connection and those it replaced."""
+        """Close the connection."""
         with self._lock:
-            if self._current_connection is not None:
-                self._retired_connections.append(self._current_connection)
-                self._current_connection = None
-            while self._retired_connections:
-                self._retired_connections.popleft().close()
+            connection = self._current_connection
+            self._current_connection = None
+        if connection is not None:
+            connection.close()
 
-    def _retire(self, connection: typing.Any) -> None:
+    def _retire(self, connection: _Connection) -> None:
         with self._lock:
             # Another call may have replaced the connection already.
-            if self._current_connection is connection:
-                self._retired_connections.append(connection)
-                self._current_connection = None
-            while len(self._retired_connections) > MAX_RETIRED_CONNECTIONS:
-                self._retired_connections.popleft().close()
+            if self._current_connection is not connection:
+                return
+            self._current_connection = None
+        connection.retire()
 
-    def _open_connection(self) -> typing.Any:
+    def _open_connection(self) -> _Connection:
         with self._lock:
             mtime = self._security.newest_mtime()
-            if (
-                self._current_connection is None
-                or mtime != self._certificate_mtime
-            ):
-                self._current_connection = self._security.open_channel(
-                    self.address, _GRPC_OPTIONS
-                )
-                self._certificate_mtime = mtime
-            return self._current_connection
+            replaced = self._current_connection
+            if replaced is not None and mtime == self._certificate_mtime:
+                return replaced
+            self._certificate_mtime = mtime
+            opened = _Connection(
+                self._security.open_channel(self.address, _GRPC_OPTIONS)
+            )
+            self._current_connection = opened
+        if replaced is not None:
+            replaced.retire()
+        return opened
 
     def _error_for(
-        self, exc: typing.Any, connection: typing.Any
+        self, exc: typing.Any, connection: _Connection
     ) -> CassiaholdError:
         code = exc.code()
         if code is grpc.StatusCode.DEADLINE_EXCEEDED:
--- a/libs/wire/tests/test_transport.py
+++ b/libs/wire/tests/test_transport.py
@@ -182,6 +182,39 @@
     assert outcomes.count(ConfigurationChanged(1)) == 1
 
 
+def test_connections_replaced_repeatedly_keep_their_calls() -> None:
+    address = free_address()
+    has_arrived, may_reply = threading.Event(), threading.Event()
+
+    def wait(group: GroupName, request: Request) -> Reply:
+        has_arrived.set()
+        may_reply.wait(10.0)
+        return ConfigurationChanged(1)
+
+    outcomes: list[typing.Any] = []
+    rpc_server = RpcServer('test', address, PLAIN, 16, wait, lambda _: None)
+    with (
+        contextlib.closing(rpc_server),
+        contextlib.closing(Channel(address, PLAIN)) as channel,
+    ):
+        patient = threading.Thread(
+            target=lambda: outcomes.append(
+                channel.call(GROUP, GetStatus(), 10.0)
+            )
+        )
+        patient.start()
+        assert has_arrived.wait(5.0)
+        # Each call that times out has the next one open a new connection.
+        for _ in range(4):
+            expect_error(
+                ErrorKind.OUTCOME_UNKNOWN,
+                lambda: channel.call(GROUP, GetStatus(), 0.2),
+            )
+        may_reply.set()
+        patient.join()
+    assert outcomes == [ConfigurationChanged(1)]
+
+
 def test_replica_messages_are_delivered_while_all_callers_wait() -> None:
     address = free_address()
     may_reply = threading.Event()
