Let repeated stops not put off the end of an attempt

Cause: a start on a worker that was cut off got no reply, so that its attempt was stopped. Every poll that did not list it had another stop sent, and each confirmation replaced the time of the earlier one. The poll that follows is sent just before that confirmation, so it never counted as sent after it: the attempt kept its allocation for ever and its gang never started again.

Change: the first confirmation stands.

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -172,10 +172,14 @@
     def record_stop_confirmed(self, attempt: AttemptKey, now: float) -> None:
         """Record that the worker confirmed a stop.
 
-        A delayed start request has no effect from then on.
+        A delayed start request has no effect from the first confirmation on.
+        Later ones must not move that time: stops are repeated while the
+        attempt is not known to have ended, and each would be confirmed after
+        the poll that could show its end was sent.
         """
         start = self._start_by_attempt.setdefault(attempt, _StartState())
-        start.stop_confirmed_at = now
+        if start.stop_confirmed_at is None:
+            start.stop_confirmed_at = now
 
     # Polls.
 
--- a/libs/workflows/tests/test_sessions.py
+++ b/libs/workflows/tests/test_sessions.py
@@ -72,6 +72,21 @@
     assert findings.results[0].outcome is AttemptOutcome.LOST
 
 
+def test_repeated_stops_do_not_delay_the_end_of_an_attempt() -> None:
+    # A start got no reply.  Each poll that does not list the attempt has
+    # another stop sent, which is confirmed just after the next poll was sent.
+    session = make_session()
+    session.reconcile(make_reply(), (), 0.0, 0.1)
+    attempt = attempt_key('j', 0, 0)
+    session.record_start_sent(attempt)
+    session.record_start_without_reply(attempt)
+    session.record_stop_confirmed(attempt, 1.01)
+    assert not session.reconcile(make_reply(), (attempt,), 1.0, 2.0).results
+    session.record_stop_confirmed(attempt, 2.01)
+    findings = session.reconcile(make_reply(), (attempt,), 2.0, 3.0)
+    assert [end.outcome for end in findings.results] == [AttemptOutcome.LOST]
+
+
 def test_running_attempt_does_not_end_by_a_confirmed_stop() -> None:
     session = make_session()
     session.reconcile(make_reply(), (), 0.0, 0.1)
