Break up a gang at once when a start gets no reply; blame no waiting member

And until then they held their resources for a gang that could not complete.

Change: an unanswered start stops the other members of its gang. A gang counts as stalled only when all members have started and none has made progress since the last of them; its workers are avoided by the job, not quarantined, since nobody knows which of them stands still.

--- a/libs/workflows/src/cassiahold/workflows/health.py
+++ b/libs/workflows/src/cassiahold/workflows/health.py
@@ -95,6 +95,34 @@
             return False
         return now >= progress.progressed_at + STALL_TIMEOUT_S
 
+    def is_gang_stalled(
+        self, members: typing.Iterable[AttemptKey], now: float
+    ) -> bool:
+        """Tell whether a running gang has made no progress for too long.
+
+        A gang works only once all its members are present, so one with a
+        member that has not started is waiting, not stalled.
+        """
+        progress_by_member = [
+            self._progress_by_attempt.get(member) for member in members
+        ]
+        return all(
+            progress is not None
+            and progress.percent < COMPLETE_PERCENT
+            and now >= progress.progressed_at + STALL_TIMEOUT_S
+            for progress in progress_by_member
+        )
+
+    def record_stalled_gang(
+        self, worker: WorkerId, attempt: AttemptKey, now: float
+    ) -> None:
+        """Keep a job off a worker for a while after its gang has stalled.
+
+        It is not known which member's worker stands still, so none of them
+        is quarantined.
+        """
+        self._record_failure(_Placement(attempt.task.step.job, worker), now)
+
     def quarantine_for_stall(self, worker: WorkerId, now: float) -> None:
         """Quarantine a worker on which an attempt has stalled."""
         self._quarantine(self._health_of(worker), now)
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -135,6 +135,22 @@
         task = record.step(key.step).tasks[key.task_index]
         return task.active_attempt
 
+    def gang_members(self, attempt: AttemptKey) -> list[AttemptKey]:
+        """Return the attempts that may be in progress of one run of a gang.
+
+        Returns none for an attempt of a step that is not a gang.
+        """
+        key = attempt.task.step
+        record = self._data.job_by_id.get(key.job)
+        if record is None or not record.spec.steps[key.step_index].is_gang:
+            return []
+        return [
+            AttemptKey(TaskKey(key, index), attempt.attempt_number)
+            for index, task in enumerate(record.step(key).tasks)
+            if task.active_attempt is not None
+            and task.active_attempt.attempt_number == attempt.attempt_number
+        ]
+
     def should_continue(self, attempt: AttemptKey) -> bool:
         """Tell whether an attempt that may be in progress should continue."""
         key = attempt.task.step
@@ -473,20 +489,14 @@
         self, record: JobRecord, result: commands.AttemptResult
     ) -> None:
         key = result.attempt.task.step
-        step = record.step(key)
-        if not step.remaining_tasks:
+        if not record.step(key).remaining_tasks:
             return
-        for index, task in enumerate(step.tasks):
-            attempt = task.active_attempt
-            if (
-                attempt is not None
-                and attempt.attempt_number == result.attempt.attempt_number
-            ):
+        for member in self.gang_members(result.attempt):
+            attempt = self.find_attempt(member.task)
+            if attempt is not None:
                 self._effects.append(
                     commands.AttemptStopRequired(
-                        AttemptKey(TaskKey(key, index), attempt.attempt_number),
-                        attempt.worker,
-                        'gang_broken',
+                        member, attempt.worker, 'gang_broken'
                     )
                 )
 
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -393,12 +393,20 @@
         attempts: typing.Iterable[AttemptKey],
         now: float,
     ) -> None:
+        worker = session.info.id
         for attempt in list(attempts):
             spec = self._state.step_spec(attempt.task.step)
             if spec.is_long_running or not self.health.is_stalled(attempt, now):
                 continue
-            self.health.quarantine_for_stall(session.info.id, now)
-            self._send_stop(attempt, session.info.id, 'stalled')
+            if not spec.is_gang:
+                self.health.quarantine_for_stall(worker, now)
+            elif self.health.is_gang_stalled(
+                self._state.gang_members(attempt), now
+            ):
+                self.health.record_stalled_gang(worker, attempt, now)
+            else:
+                continue
+            self._send_stop(attempt, worker, 'stalled')
 
     def _next_poll(
         self,
@@ -421,7 +429,8 @@
     ) -> requests.Acknowledged | Proposal:
         """Handle a worker's reply to a start.
 
-        A start without a reply may have been carried out, so it is stopped; a
+        A start without a reply may have been carried out, so it is stopped,
+        with the members of its gang, which cannot complete any more.  A
         refused start ends as lost.
         """
         session = self._find_session(request.worker, request.fence)
@@ -443,6 +452,7 @@
         if reply is None:
             session.record_start_without_reply(request.attempt)
             self._send_stop(request.attempt, request.worker, 'unanswered')
+            self._stop_other_members(request.attempt)
             return requests.Acknowledged()
         self._metrics.incr(f'start.{reply.status.value}')
         session.record_clock(reply.clock_ms, now)
@@ -453,6 +463,12 @@
             return requests.Acknowledged()
         return self._handle_refused_start(session, request.attempt, reply, now)
 
+    def _stop_other_members(self, attempt: AttemptKey) -> None:
+        for member in self._state.gang_members(attempt):
+            record = self._state.find_attempt(member.task)
+            if member != attempt and record is not None:
+                self._send_stop(member, record.worker, 'gang_broken')
+
     def stop_done(
         self, request: local.StopDone, now: float
     ) -> requests.Acknowledged:
--- a/programs/cell/tests/test_worker_sessions.py
+++ b/programs/cell/tests/test_worker_sessions.py
@@ -253,6 +253,46 @@
     ]
 
 
+def start_gang(leader: LeaderFixture) -> list[StartRequest]:
+    spec = WorkflowSpec(
+        'payload', (StepSpec(2, Resources(2000, 10), is_gang=True),)
+    )
+    leader.handle(requests.SubmitWork('h', '/q/gang', 'key', spec))
+    leader.apply_due_commands()
+    assert len(leader.sender.starts) == 2
+    return leader.sender.starts
+
+
+def test_gang_is_stopped_as_a_whole_when_a_start_gets_no_reply() -> None:
+    # A worker is cut off while a gang starts: the other members would hold
+    # their resources until the gang times out.
+    leader = make_leader('v', 'w')
+    first, second = start_gang(leader)
+    leader.handle(
+        local.StartDone(first.worker.id, first.fence, first.attempt, None)
+    )
+    assert [stop.attempt for stop in leader.sender.stops] == [
+        first.attempt,
+        second.attempt,
+    ]
+
+
+def test_member_that_waits_for_its_gang_does_not_blame_its_worker() -> None:
+    leader = make_leader('v', 'w')
+    first, _ = start_gang(leader)
+    worker = first.worker.id
+    started = WorkerReply(ReplyStatus.DONE)
+    leader.handle(local.StartDone(worker, first.fence, first.attempt, started))
+    waiting = (RunningAttempt(first.attempt, '', 0),)
+    leader.reply_to_poll(worker, running=waiting)
+    sessions = leader.service.worker_sessions
+    later = boottime_s() + 3
+    reply = PollReply(1, 1000, waiting, ())
+    sessions.poll_done(local.PollDone(worker, first.fence, reply, later), later)
+    assert not leader.sender.stops
+    assert worker in sessions.usable_workers(later)
+
+
 def test_attempts_of_a_cancelled_job_are_stopped() -> None:
     leader = make_leader('w')
     submit(leader, '/q/1')
