--- a/programs/gateway/src/cassiahold/gateway/http.py
+++ b/programs/gateway/src/cassiahold/gateway/http.py
@@ -38,6 +38,9 @@
 }
 RAN_HEADER: typing.Final = 'Cassiahold-Ran'
 ERROR_KIND_HEADER: typing.Final = 'Cassiahold-Error'
+# Key of the WSGI environment; when True the server closes the connection after
+# the response.  WSGI applications may not set the Connection header.
+CLOSE_CONNECTION_KEY: typing.Final = 'cassiahold.close_connection'
 
 
 class ErrorBody(msgspec.Struct, frozen=True):
@@ -54,12 +57,17 @@
 
 
 class HttpResponse(msgspec.Struct):
-    """A complete HTTP response."""
+    """A complete HTTP response.
+
+    With ``closes_connection`` the client has to open a new connection, for
+    which a load balancer may choose another host.
+    """
 
     status: int
     body: bytes
     content_type: str = 'application/json'
     headers: list[tuple[str, str]] = msgspec.field(default_factory=list)
+    closes_connection: bool = False
 
 
 class HttpRequest:
@@ -201,6 +209,7 @@
         self._metrics.timing('http', (time.monotonic() - started_at) * 1000)
         received_bytes = int(environ.get('CONTENT_LENGTH') or 0)
         self._metrics.incr('http_bytes', received_bytes + len(response.body))
+        environ[CLOSE_CONNECTION_KEY] = response.closes_connection
         reason = _REASON_BY_STATUS.get(response.status, 'Unknown')
         start_response(
             f'{response.status} {reason}',
--- a/programs/gateway/src/cassiahold/gateway/http_server.py
+++ b/programs/gateway/src/cassiahold/gateway/http_server.py
@@ -5,11 +5,14 @@
 import time
 import typing
 
-import waitress
+from waitress import create_server
+from waitress.channel import HTTPChannel
+from waitress.task import WSGITask
 
 from cassiahold.core import logs
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.gateway.http import (
+    CLOSE_CONNECTION_KEY,
     HttpRequest,
     HttpResponse,
     Route,
@@ -22,7 +25,7 @@
 LEAVING_NOTICE_S: typing.Final = 1.0
 _POLL_INTERVAL_S: typing.Final = 0.02
 _SERVICE_UNAVAILABLE: typing.Final = 503
-_MAX_CONNECTIONS: typing.Final = 2000
+DEFAULT_MAX_CONNECTIONS: typing.Final = 2000
 _IDLE_TIMEOUT_S: typing.Final = 120
 
 WsgiApplication = typing.Callable[..., typing.Any]
@@ -42,6 +45,13 @@
         """Return the number of requests without a response yet."""
         return self._in_progress
 
+    def start_leaving(self) -> None:
+        """Close each connection after its next response.
+
+        Clients then connect to another host while this one still answers.
+        """
+        self._is_leaving = True
+
     def track(self, original: Route) -> Route:
         """Return the route with requests counted, or refused if leaving."""
 
@@ -53,10 +63,13 @@
             with self._lock:
                 self._in_progress += 1
             try:
-                return original.handler(request)
+                response = original.handler(request)
             finally:
                 with self._lock:
                     self._in_progress -= 1
+            if self._is_leaving:
+                response.closes_connection = True
+            return response
 
         return Route(original.method, original.pattern, handle)
 
@@ -72,7 +85,7 @@
 
         Return whether all requests in progress ended within ``timeout_s``.
         """
-        self._is_leaving = True
+        self.start_leaving()
         time.sleep(LEAVING_NOTICE_S)
         self._is_refusing = True
         deadline = time.monotonic() + timeout_s
@@ -91,6 +104,22 @@
         return json_response({'state': 'ok'})
 
 
+class _Task(WSGITask):  # type: ignore[misc]
+    """Closes the connection after a response when the application asks."""
+
+    def build_response_header(self) -> bytes:
+        """Return the encoded status line and headers."""
+        if self.get_environment().get(CLOSE_CONNECTION_KEY):
+            self.set_close_on_finish()
+        return typing.cast(bytes, super().build_response_header())
+
+
+class _Channel(HTTPChannel):  # type: ignore[misc]
+    """A client's connection."""
+
+    task_class = _Task
+
+
 class HttpServer:
     """A waitress server that runs in its own thread.
 
@@ -103,23 +132,25 @@
         address: str,
         threads: int,
         max_body_bytes: int,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
         self._is_closing = False
         host, _, port = address.rpartition(':')
         try:
-            self._server = waitress.create_server(
+            self._server = create_server(
                 application,
                 host=host,
                 port=int(port),
                 threads=threads,
                 max_request_body_size=max_body_bytes,
-                connection_limit=_MAX_CONNECTIONS,
+                connection_limit=max_connections,
                 channel_timeout=_IDLE_TIMEOUT_S,
                 clear_untrusted_proxy_headers=False,
                 # select() fails for file descriptors above 1023.
                 asyncore_use_poll=True,
                 ident='cassiahold',
             )
+            self._server.channel_class = _Channel
         except OSError as exc:
             raise CassiaholdError(
                 ErrorKind.CANNOT_BIND,
--- a/programs/gateway/tests/test_gateway.py
+++ b/programs/gateway/tests/test_gateway.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import http.client
 import io
 import json
 import resource
@@ -26,7 +27,12 @@
 from cassiahold.core.testing import expect_error, function_tests
 from cassiahold.gateway.authorization import Authorizer, LeasedConfiguration
 from cassiahold.gateway.handlers.callers import CallerHandlers
-from cassiahold.gateway.http import Application
+from cassiahold.gateway.http import (
+    Application,
+    HttpRequest,
+    HttpResponse,
+    route,
+)
 from cassiahold.gateway.http_server import HttpServer, RequestTracker
 from cassiahold.gateway.scheduler_groups import SchedulerGroups
 from cassiahold.wire import messages
@@ -259,4 +265,30 @@
         assert server.is_alive
 
 
+def test_server_closes_a_connection_when_the_response_asks_for_it() -> None:
+    def respond(request: HttpRequest) -> HttpResponse:
+        return HttpResponse(
+            503, b'{}', closes_connection=request.path == '/elsewhere'
+        )
+
+    with contextlib.ExitStack() as stack:
+        probe = stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+        port = probe.getsockname()[1]
+        probe.close()
+        server = HttpServer(
+            Application([route('GET', '.*', respond)], NullMetrics()),
+            f'127.0.0.1:{port}',
+            2,
+            1000,
+        )
+        stack.callback(server.close)
+        connection = http.client.HTTPConnection('127.0.0.1', port, timeout=5)
+        stack.callback(connection.close)
+        for path, is_closed in (('/here', False), ('/elsewhere', True)):
+            connection.request('GET', path)
+            response = connection.getresponse()
+            response.read()
+            assert response.will_close is is_closed
+
+
 load_tests = function_tests(globals())
