Count replies to callers as contacts with the leader

Change: a contact is due after a second without any reply, every two seconds for the offer to help with advisors, and at once for a new leader.

Result: test_contacts.

--- a/programs/cell/src/cassiahold/cell/node.py
+++ b/programs/cell/src/cassiahold/cell/node.py
@@ -26,6 +26,7 @@
 from cassiahold.agreement.storage import ReplicaStorage
 from cassiahold.cell import identity, requests
 from cassiahold.cell.clients import AdvisorClient, WorkerClient
+from cassiahold.cell.contacts import CONTACT_INTERVAL_S, ContactSchedule
 from cassiahold.cell.discovery import ReplicaDirectory
 from cassiahold.cell.leader_client import LeaderClient
 from cassiahold.cell.request_sender import ThreadedRequestSender
@@ -39,6 +40,7 @@
     CellSettings,
 )
 from cassiahold.core import logs
+from cassiahold.core.clock import boottime_s
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import GroupName, ReplicaId
 from cassiahold.core.metrics import Metrics
@@ -49,7 +51,6 @@
 REPLY_TIMEOUT_S: typing.Final = 5.0
 TICKS_PER_HEARTBEAT: typing.Final = 5
 JOIN_INTERVAL_S: typing.Final = 0.5
-CONTACT_INTERVAL_S: typing.Final = 1.0
 CONTACT_RETRY_S: typing.Final = 0.1
 
 
@@ -310,14 +311,24 @@
     def _contact_leader_periodically(self) -> None:
         address = '' if self._advisor is None else self._settings.address
         request = requests.OfferHelp(address)
+        schedule = ContactSchedule()
         pause_s = CONTACT_INTERVAL_S
         while not self._stopped.wait(pause_s):
-            pause_s = CONTACT_INTERVAL_S
+            pause_s = schedule.pause_s(
+                boottime_s(),
+                self.directory.leader,
+                self.leader_client.leader_silence_s(),
+            )
+            if pause_s > 0:
+                continue
             try:
                 self.leader_client.call_leader(request, CONTACT_INTERVAL_S)
             except CassiaholdError:
-                # The client logs the failure; retry sooner than usual.
+                # The client logs the failure; retry soon.
                 pause_s = CONTACT_RETRY_S
+            else:
+                schedule.record_offer(boottime_s(), self.directory.leader)
+                pause_s = CONTACT_INTERVAL_S
 
     # Consensus messages.
 
