--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -398,14 +398,14 @@
             spec = self._state.step_spec(attempt.task.step)
             if spec.is_long_running or not self.health.is_stalled(attempt, now):
                 continue
-            if not spec.is_gang:
-                self.health.quarantine_for_stall(worker, now)
-            elif self.health.is_gang_stalled(
-                self._state.gang_members(attempt), now
-            ):
+            # None for a task that is not a member of a gang.
+            members = self._state.gang_members(attempt)
+            if not self.health.is_gang_stalled(members, now):
+                continue
+            if spec.is_gang:
                 self.health.record_stalled_gang(worker, attempt, now)
             else:
-                continue
+                self.health.quarantine_for_stall(worker, now)
             self._send_stop(attempt, worker, 'stalled')
 
     def _next_poll(
@@ -450,9 +450,7 @@
             ).expected_s,
         )
         if reply is None:
-            session.record_start_without_reply(request.attempt)
-            self._send_stop(request.attempt, request.worker, 'unanswered')
-            self._stop_other_members(request.attempt)
+            self._handle_unanswered_start(session, request.attempt)
             return requests.Acknowledged()
         self._metrics.incr(f'start.{reply.status.value}')
         session.record_clock(reply.clock_ms, now)
@@ -463,10 +461,14 @@
             return requests.Acknowledged()
         return self._handle_refused_start(session, request.attempt, reply, now)
 
-    def _stop_other_members(self, attempt: AttemptKey) -> None:
+    def _handle_unanswered_start(
+        self, session: WorkerSession, attempt: AttemptKey
+    ) -> None:
+        session.record_start_without_reply(attempt)
+        self._send_stop(attempt, session.info.id, 'unanswered')
         for member in self._state.gang_members(attempt):
             record = self._state.find_attempt(member.task)
-            if member != attempt and record is not None:
+            if record is not None:
                 self._send_stop(member, record.worker, 'gang_broken')
 
     def stop_done(
