Send no start that was decided before a suspension

Cause: starts wait in a queue for a thread. A leader that was suspended for some seconds sent those left in its queue afterwards, under a lease and a fence that another leader may have replaced meanwhile.

Change: a start older than two seconds is not sent; it ends like one without a reply, so that nothing counts as free that may run.

Result: test_start_decided_before_a_suspension_is_not_sent_after_it fails with the limit taken out and passes.

--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -31,6 +31,8 @@
 # A new leader polls every worker, so the number at a time is limited.
 MAX_CONCURRENT_FIRST_POLLS: typing.Final = 8
 MAX_START_TRIES: typing.Final = 4
+# After a longer suspension of this process another one may lead.
+MAX_START_AGE_S: typing.Final = 2.0
 STOP_THREADS: typing.Final = 16
 MAX_STOP_TRIES: typing.Final = 8
 FAILED_POLL_PAUSE_S: typing.Final = 0.1
@@ -47,6 +49,7 @@
         workers: WorkerClient,
         advisor: AdvisorClient | None,
         start_threads: int,
+        clock: typing.Callable[[], float] = boottime_s,
     ) -> None:
         self._workers = workers
         self._advisor = advisor
@@ -57,7 +60,7 @@
         self._stop_pool = concurrent.futures.ThreadPoolExecutor(
             STOP_THREADS, thread_name_prefix='stop'
         )
-        self._pending_starts = _PendingStarts()
+        self._pending_starts = _PendingStarts(clock)
         self._first_polls = threading.Semaphore(MAX_CONCURRENT_FIRST_POLLS)
         self._handle_report: RequestHandler = _not_attached
         self.advisor_queries = AdvisorQueryDispatcher(advisor, self._report)
@@ -176,26 +179,36 @@
 
 
 class _PendingStarts:
-    """Attempts whose start is queued or being sent and still needed."""
+    """Attempts whose start is queued or being sent and still needed.
 
-    def __init__(self) -> None:
+    ``clock`` returns seconds and includes the time of a suspension.
+    """
+
+    def __init__(self, clock: typing.Callable[[], float]) -> None:
+        self._clock = clock
         self._lock = threading.Lock()
-        self._pending: set[AttemptKey] = set()
+        self._added_at_by_attempt: dict[AttemptKey, float] = {}
 
     def add(self, attempt: AttemptKey) -> None:
         """Add an attempt whose start will be sent."""
         with self._lock:
-            self._pending.add(attempt)
+            self._added_at_by_attempt[attempt] = self._clock()
 
     def remove(self, attempt: AttemptKey) -> None:
         """Remove an attempt whose start got a reply or is cancelled."""
         with self._lock:
-            self._pending.discard(attempt)
+            self._added_at_by_attempt.pop(attempt, None)
 
     def is_pending(self, attempt: AttemptKey) -> bool:
-        """Tell whether the start of an attempt should still be sent."""
+        """Tell whether the start of an attempt should still be sent.
+
+        Not after ``MAX_START_AGE_S``: the decision is then too old.
+        """
         with self._lock:
-            return attempt in self._pending
+            added_at = self._added_at_by_attempt.get(attempt)
+        if added_at is None:
+            return False
+        return self._clock() < added_at + MAX_START_AGE_S
 
 
 def _always() -> bool:
--- a/programs/cell/tests/test_request_sender.py
+++ b/programs/cell/tests/test_request_sender.py
@@ -83,4 +83,33 @@
     assert reports.start_by_job['cancelled'].reply is None
 
 
+class PausedClock:
+    """A clock that only the test advances."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+def test_start_decided_before_a_suspension_is_not_sent_after_it() -> None:
+    workers = BlockingWorkerClient()
+    reports = ReportCollector()
+    clock = PausedClock()
+    with contextlib.ExitStack() as stack:
+        sender = ThreadedRequestSender(workers, None, 1, clock)
+        stack.callback(sender.close)
+        sender.attach(reports.handle, _UnusedLeaderClient())
+        sender.send_start(StartRequest(WORKER, attempt_of('first'), '', 1, 1))
+        sender.send_start(StartRequest(WORKER, attempt_of('late'), '', 1, 1))
+        # The process stands still while another leader is elected.
+        clock.now_s += 5.0
+        workers.may_reply.set()
+        sender.send_stop(StopRequest(WORKER, attempt_of('other'), 1))
+        assert reports.is_complete.wait(TIMEOUT_S)
+    assert 'start late' not in workers.sent_requests
+    assert reports.start_by_job['late'].reply is None
+
+
 load_tests = function_tests(globals())
