Give the stops of attempts a module of their own

Which attempts are stopped, and why, moves to AttemptStopper, the interface to the threads to request_interface; no change of behaviour. Tests of the cell pass.

--- /dev/null
+++ b/programs/cell/src/cassiahold/cell/request_interface.py
@@ -0,0 +1,26 @@
+"""Interface through which the leader sends requests to workers and advisors."""
+
+import typing
+
+from cassiahold.cell.clients import StartRequest, StopRequest
+from cassiahold.workflows.model import WorkerInfo
+from cassiahold.workflows.planning import AdvisorQuery
+
+
+class RequestSender(typing.Protocol):
+    """Sends requests to workers and advisors asynchronously.
+
+    Methods return at once; outcomes arrive as local requests.
+    """
+
+    def start_polling(self, worker: WorkerInfo, fence: int) -> None:
+        """Start to poll a worker under a fence."""
+
+    def send_start(self, request: StartRequest) -> None:
+        """Send a start with a limited number of tries."""
+
+    def send_stop(self, request: StopRequest) -> None:
+        """Send a stop with a limited number of tries."""
+
+    def query_advisor(self, query: AdvisorQuery) -> None:
+        """Queue a query to the advisor."""
--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -13,8 +13,9 @@
 from cassiahold.agreement.replica import Proposal
 from cassiahold.cell import requests
 from cassiahold.cell.dispatch import dispatch
+from cassiahold.cell.request_interface import RequestSender
 from cassiahold.cell.settings import CellSettings
-from cassiahold.cell.worker_sessions import RequestSender, WorkerSessions
+from cassiahold.cell.worker_sessions import WorkerSessions
 from cassiahold.core import logs
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -8,14 +8,15 @@
 from cassiahold.agreement.replica import Proposal
 from cassiahold.cell import local_requests as local
 from cassiahold.cell import requests
+from cassiahold.cell.attempt_stopper import AttemptStopper
 from cassiahold.cell.clients import (
     PollRequest,
     ReplyStatus,
     StartRequest,
-    StopRequest,
     WorkerReply,
 )
 from cassiahold.cell.heartbeats import HeartbeatTracker
+from cassiahold.cell.request_interface import RequestSender
 from cassiahold.cell.settings import POLL_MAX_WAIT_S, CellSettings
 from cassiahold.core import logs
 from cassiahold.core.clock import boottime_s
@@ -25,7 +26,6 @@
 from cassiahold.workflows.advisor_replies import AdvisorReplyCache
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import AttemptKey, AttemptOutcome, WorkerInfo
-from cassiahold.workflows.planning import AdvisorQuery
 from cassiahold.workflows.sessions import WorkerSession
 from cassiahold.workflows.state import WorkflowState
 from cassiahold.workflows.timelines import JobTimelines
@@ -36,25 +36,6 @@
 DEREGISTRATION_DELAY_S: typing.Final = 0.5
 
 
-class RequestSender(typing.Protocol):
-    """Sends requests to workers and advisors asynchronously.
-
-    Methods return at once; outcomes arrive as local requests.
-    """
-
-    def start_polling(self, worker: WorkerInfo, fence: int) -> None:
-        """Start to poll a worker under a fence."""
-
-    def send_start(self, request: StartRequest) -> None:
-        """Send a start with a limited number of tries."""
-
-    def send_stop(self, request: StopRequest) -> None:
-        """Send a stop with a limited number of tries."""
-
-    def query_advisor(self, query: AdvisorQuery) -> None:
-        """Queue a query to the advisor."""
-
-
 class WorkerSessions:
     """The leader's sessions with the workers of one term.
 
@@ -81,10 +62,12 @@
         self._session_by_worker: dict[WorkerId, WorkerSession] = {}
         self._heartbeats = HeartbeatTracker()
         self._deregistered_at_by_worker: dict[WorkerId, float] = {}
-        self._stopping_attempts: set[AttemptKey] = set()
         self._checkpoint_by_attempt: dict[AttemptKey, str] = {}
         self.health = HealthTracker()
         self.timelines = JobTimelines()
+        self._stopper = AttemptStopper(
+            state, self.health, request_sender, self._session_by_worker
+        )
 
     def open_sessions(self, now: float) -> None:
         """Open a session with every registered worker."""
@@ -161,7 +144,7 @@
             if effect.term == self._term:
                 self._send_start(effect.start, now)
         elif isinstance(effect, commands.AttemptStopRequired):
-            self._send_stop(effect.attempt, effect.worker, effect.reason)
+            self._stopper.stop(effect.attempt, effect.worker, effect.reason)
         elif isinstance(effect, commands.StepClosed):
             self._advisor_replies.forget_step(effect.step)
         elif isinstance(effect, commands.JobFinished):
@@ -312,11 +295,12 @@
                 expected=len(worker.resources_by_attempt),
             )
         for attempt in findings.unexpected_attempts:
-            self._send_stop(attempt, session.info.id, 'not_expected')
+            self._stopper.stop(attempt, session.info.id, 'not_expected')
         for attempt in findings.missing_attempts:
-            self._send_stop(attempt, session.info.id, 'unanswered')
-        self._stop_unwanted(session, worker.resources_by_attempt)
-        self._stop_stalled(session, worker.resources_by_attempt, now)
+            self._stopper.stop(attempt, session.info.id, 'unanswered')
+        expected_attempts = list(worker.resources_by_attempt)
+        self._stopper.stop_unwanted(session.info.id, expected_attempts)
+        self._stopper.stop_stalled(session.info.id, expected_attempts, now)
         if not findings.results:
             session.last_stored_end = findings.newest_end_number
             return self._next_poll(session, now)
@@ -352,7 +336,7 @@
         newest_end_number: int,
     ) -> PollRequest:
         for result in results:
-            self._stopping_attempts.discard(result.attempt)
+            self._stopper.record_stopped(result.attempt)
             self._checkpoint_by_attempt.pop(result.attempt, None)
             self.health.record_outcome(
                 result.worker, result.attempt, result.outcome, boottime_s()
@@ -380,34 +364,6 @@
             speed=0.0 if worker is None else worker.speed_estimate.speed,
         )
 
-    def _stop_unwanted(
-        self, session: WorkerSession, attempts: typing.Iterable[AttemptKey]
-    ) -> None:
-        for attempt in list(attempts):
-            if not self._state.should_continue(attempt):
-                self._send_stop(attempt, session.info.id, 'job_over')
-
-    def _stop_stalled(
-        self,
-        session: WorkerSession,
-        attempts: typing.Iterable[AttemptKey],
-        now: float,
-    ) -> None:
-        worker = session.info.id
-        for attempt in list(attempts):
-            spec = self._state.step_spec(attempt.task.step)
-            if spec.is_long_running or not self.health.is_stalled(attempt, now):
-                continue
-            # None for a task that is not a member of a gang.
-            members = self._state.gang_members(attempt)
-            if not self.health.is_gang_stalled(members, now):
-                continue
-            if spec.is_gang:
-                self.health.record_stalled_gang(worker, attempt, now)
-            else:
-                self.health.quarantine_for_stall(worker, now)
-            self._send_stop(attempt, worker, 'stalled')
-
     def _next_poll(
         self,
         session: WorkerSession,
@@ -465,17 +421,14 @@
         self, session: WorkerSession, attempt: AttemptKey
     ) -> None:
         session.record_start_without_reply(attempt)
-        self._send_stop(attempt, session.info.id, 'unanswered')
-        for member in self._state.gang_members(attempt):
-            record = self._state.find_attempt(member.task)
-            if record is not None:
-                self._send_stop(member, record.worker, 'gang_broken')
+        self._stopper.stop(attempt, session.info.id, 'unanswered')
+        self._stopper.stop_gang(attempt)
 
     def stop_done(
         self, request: local.StopDone, now: float
     ) -> requests.Acknowledged:
         """Handle a worker's reply to a stop; a poll then reports the end."""
-        self._stopping_attempts.discard(request.attempt)
+        self._stopper.record_stopped(request.attempt)
         session = self._find_session(request.worker, request.fence)
         if session is not None and request.reply is not None:
             session.record_stop_confirmed(request.attempt, now)
@@ -548,26 +501,6 @@
             )
         )
 
-    def _send_stop(
-        self, attempt: AttemptKey, worker_id: WorkerId, reason: str
-    ) -> None:
-        session = self._session_by_worker.get(worker_id)
-        if session is None or attempt in self._stopping_attempts:
-            return
-        self._stopping_attempts.add(attempt)
-        logs.info(
-            'run_unwanted',
-            job=attempt.task.step.job,
-            step=attempt.task.step.step_index,
-            task=attempt.task.task_index,
-            attempt=attempt.attempt_number,
-            worker=worker_id,
-            why=reason,
-        )
-        self._request_sender.send_stop(
-            StopRequest(session.info, attempt, session.fence)
-        )
-
     # Sessions.
 
     def _find_session(
