Tell callers the truth after a lost reply; keep draining workers out

After an answer was lost: a first try that timed out may have stored a job; when the next try was refused, for example as overloaded, the caller was told by a 429 that its job had not been accepted. Now the unknown outcome goes first. test_refusal_after_a_lost_reply_does_not_say_that_nothing_ran.

After a change of the leader: a heartbeat that a worker had sent before it began to drain, delayed by a cut, made it ready again at a new leader, which does not know the sequence numbers; it got new work. Now an incarnation that drains stays so. test_new_leader_ignores_a_late_heartbeat_of_a_draining_worker.

Both tests fail before and pass.

--- a/programs/cell/src/cassiahold/cell/heartbeats.py
+++ b/programs/cell/src/cassiahold/cell/heartbeats.py
@@ -26,12 +26,19 @@
         sequence: int,
         registered_worker: WorkerRecord | None,
     ) -> bool:
-        """Tell whether a newer heartbeat or incarnation is known."""
-        if (
-            registered_worker is not None
-            and info.incarnation < registered_worker.info.incarnation
-        ):
-            return True
+        """Tell whether a newer heartbeat or incarnation is known.
+
+        A worker that drains does not become ready again in the same
+        incarnation.  The registered worker tells so to a new leader, which
+        has not seen the sequence numbers of earlier heartbeats.
+        """
+        if registered_worker is not None:
+            known = registered_worker.info
+            if info.incarnation < known.incarnation:
+                return True
+            is_same = info.incarnation == known.incarnation
+            if is_same and known.is_draining and not info.is_draining:
+                return True
         newest = self._newest_by_worker.get(info.id)
         return (
             newest is not None
--- a/programs/cell/src/cassiahold/cell/leader_client.py
+++ b/programs/cell/src/cassiahold/cell/leader_client.py
@@ -80,9 +80,9 @@
     def call_leader(self, request: typing.Any, timeout_s: float) -> typing.Any:
         """Return the leader's reply to an idempotent request.
 
-        Raises an error of the kind with which the leader refused, or
-        ``NO_QUORUM`` when no leader has received the request, or
-        ``OUTCOME_UNKNOWN`` when one may have carried it out.
+        Raises ``OUTCOME_UNKNOWN`` when a leader may have carried it out in
+        one of the tries; otherwise an error of the kind with which the leader
+        refused, or ``NO_QUORUM`` when no leader has received the request.
         """
         retry_state = _RetryState(boottime_s() + timeout_s)
         while True:
@@ -125,7 +125,8 @@
         elif exc.kind not in _TRY_ELSEWHERE_KINDS:
             # The leader itself refused: another replica cannot help.
             self._record_leader_reply()
-            raise exc
+            # An earlier try may have been carried out all the same.
+            raise retry_state.unknown_outcome or exc
         retry_state.last_reason = exc.detail
         self._directory.reject_leader(address)
 
--- /dev/null
+++ b/programs/cell/tests/test_leader_client.py
@@ -0,0 +1,58 @@
+"""Tests of what a caller is told about the tries of a request."""
+
+import pathlib
+import typing
+
+from cassiahold.cell import requests
+from cassiahold.cell.discovery import ReplicaDirectory
+from cassiahold.cell.leader_client import LeaderClient
+from cassiahold.core.conf.settings import TlsSettings
+from cassiahold.core.exceptions import CassiaholdError, ErrorKind
+from cassiahold.core.testing import expect_error, function_tests
+from cassiahold.wire.security import TransportSecurity
+
+LOST_REPLY = CassiaholdError(ErrorKind.OUTCOME_UNKNOWN, 'no reply')
+OVERLOADED = CassiaholdError(ErrorKind.OVERLOADED, 'too many calls')
+REQUEST = requests.GetWork('host', '/queue/1', 'key')
+TIMEOUT_S = 5.0
+
+
+class ScriptedLeaderClient(LeaderClient):
+    """A client whose calls have prepared outcomes, in order."""
+
+    def __init__(self, *outcomes: typing.Any) -> None:
+        super().__init__(
+            ReplicaDirectory(('a:1',)),
+            TransportSecurity(TlsSettings(mode='plain'), pathlib.Path()),
+        )
+        self._outcomes = list(outcomes)
+
+    def call(self, *_: typing.Any) -> typing.Any:
+        outcome = self._outcomes.pop(0)
+        if isinstance(outcome, CassiaholdError):
+            raise outcome
+        return outcome
+
+
+def test_refusal_after_a_lost_reply_does_not_say_that_nothing_ran() -> None:
+    """The first try may have been stored: "not run" would be untrue."""
+    client = ScriptedLeaderClient(LOST_REPLY, OVERLOADED)
+    expect_error(
+        ErrorKind.OUTCOME_UNKNOWN,
+        lambda: client.call_leader(REQUEST, TIMEOUT_S),
+    )
+
+
+def test_refusal_of_the_only_try_is_passed_on() -> None:
+    client = ScriptedLeaderClient(OVERLOADED)
+    expect_error(
+        ErrorKind.OVERLOADED, lambda: client.call_leader(REQUEST, TIMEOUT_S)
+    )
+
+
+def test_reply_of_a_later_try_is_returned() -> None:
+    client = ScriptedLeaderClient(LOST_REPLY, 'reply')
+    assert client.call_leader(REQUEST, TIMEOUT_S) == 'reply'
+
+
+load_tests = function_tests(globals())
--- a/programs/cell/tests/test_worker_sessions.py
+++ b/programs/cell/tests/test_worker_sessions.py
@@ -121,7 +121,12 @@
         return self.handle(local.PollDone(worker, fence, reply, boottime_s()))
 
     def send_heartbeat(
-        self, name: str, incarnation: int = 1, sequence: int = 1
+        self,
+        name: str,
+        incarnation: int = 1,
+        sequence: int = 1,
+        *,
+        is_draining: bool = False,
     ) -> None:
         info = WorkerInfo(
             WorkerId(name),
@@ -130,6 +135,7 @@
             's',
             DataCentre('z'),
             Resources(2000, 100),
+            is_draining=is_draining,
         )
         self.handle(requests.WorkerBeat(info, sequence))
 
@@ -229,6 +235,21 @@
     assert leader.sender.fence_by_worker[WorkerId('w')] == fence
 
 
+def test_new_leader_ignores_a_late_heartbeat_of_a_draining_worker() -> None:
+    leader = make_leader('w')
+    leader.send_heartbeat('w', sequence=7, is_draining=True)
+    leader.start_next_term()
+    leader.reply_to_poll('w')
+    # Sent before the worker began to drain and delayed by a cut.
+    leader.send_heartbeat('w', sequence=6)
+    submit(leader, '/q/1')
+    assert not leader.sender.starts
+    leader.send_heartbeat('w', incarnation=2)
+    leader.reply_to_poll('w', incarnation=2)
+    leader.apply_due_commands(boottime_s() + 1)
+    assert len(leader.sender.starts) == 1
+
+
 def test_start_without_reply_is_stopped_until_confirmed() -> None:
     leader = make_leader('w')
     submit(leader, '/q/1')
