Tell the product's own callers the truth after a lost reply, too

The unknown outcome goes first.

Result: test_refusal_after_a_lost_reply_does_not_say_that_nothing_ran in the tests of the transport fails before and passes.

--- a/libs/wire/src/cassiahold/wire/group_client.py
+++ b/libs/wire/src/cassiahold/wire/group_client.py
@@ -32,31 +32,35 @@
     ) -> Reply:
         """Return the leader's reply.
 
-        Raises ``CassiaholdError`` of the kind with which the leader refused
-        the request, ``UNREACHABLE`` or ``NO_QUORUM`` when no leader received
-        it, and ``OUTCOME_UNKNOWN`` when one may have.
+        Raises ``OUTCOME_UNKNOWN`` when a leader may have received the request
+        in one of the tries; otherwise an error of the kind with which the
+        leader refused it, ``UNREACHABLE`` or ``NO_QUORUM``.
         """
         deadline = time.monotonic() + timeout_s
         pause_s = _MIN_RETRY_PAUSE_S
-        unknown_outcome: CassiaholdError | None = None
+        failed_tries = _FailedTries()
         while True:
-            result = self._try_each_replica(request, deadline, traceparent)
-            if not isinstance(result, _FailedPass):
-                return result
-            unknown_outcome = result.unknown_outcome or unknown_outcome
+            reply = self._try_each_replica(
+                request, deadline, traceparent, failed_tries
+            )
+            if reply is not None:
+                return reply
             if time.monotonic() + pause_s >= deadline:
                 raise (
-                    unknown_outcome
-                    or result.last_error
+                    failed_tries.unknown_outcome
+                    or failed_tries.last_error
                     or _no_reply_error(self.group)
                 )
             time.sleep(pause_s)
             pause_s = min(2 * pause_s, _MAX_RETRY_PAUSE_S)
 
     def _try_each_replica(
-        self, request: Request, deadline: float, traceparent: str
-    ) -> 'Reply | _FailedPass':
-        failed_pass = _FailedPass()
+        self,
+        request: Request,
+        deadline: float,
+        traceparent: str,
+        failed_tries: '_FailedTries',
+    ) -> Reply | None:
         for _ in self._channel_by_replica:
             remaining_s = deadline - time.monotonic()
             if remaining_s <= 0:
@@ -68,10 +72,13 @@
                     traceparent,
                 )
             except _TryNextReplicaError as exc:
-                failed_pass.last_error = exc.error
+                failed_tries.last_error = exc.error
                 if exc.error.kind is ErrorKind.OUTCOME_UNKNOWN:
-                    failed_pass.unknown_outcome = exc.error
-        return failed_pass
+                    failed_tries.unknown_outcome = exc.error
+            except CassiaholdError as refusal:
+                # An earlier try may have been carried out all the same.
+                raise (failed_tries.unknown_outcome or refusal) from refusal
+        return None
 
     def _call_leader(
         self, request: Request, timeout_s: float, traceparent: str
@@ -103,8 +110,8 @@
         return replicas[(replicas.index(replica) + 1) % len(replicas)]
 
 
-class _FailedPass:
-    """The errors of one pass in which no replica served the request."""
+class _FailedTries:
+    """The errors of the tries of one request so far."""
 
     def __init__(self) -> None:
         self.last_error: CassiaholdError | None = None
--- a/libs/wire/tests/test_transport.py
+++ b/libs/wire/tests/test_transport.py
@@ -71,6 +71,15 @@
 FOLLOWER_REFUSAL = Refusal(ErrorKind.NO_QUORUM, 'not the leader')
 
 
+def test_refusal_after_a_lost_reply_does_not_say_that_nothing_ran() -> None:
+    client = group_client(
+        a=FakeChannel(REPLY_LOST, Refusal(ErrorKind.OVERLOADED, 'busy'))
+    )
+    expect_error(
+        ErrorKind.OUTCOME_UNKNOWN, lambda: client.call(GetStatus(), 5.0)
+    )
+
+
 def test_a_call_returns_the_reply() -> None:
     address = free_address()
     with server(address, lambda group, request: ConfigurationChanged(7)):
