Keep a connection open for a call that is about to be sent

Cause: found on reading the change again: a connection counted its calls from their sending, so that one replaced between its choice and the sending was closed, and the call ended in an internal error.

Change: choosing a connection announces the call.

Result: test_connection_replaced_before_a_call_is_sent_serves_the_call fails before (ValueError: Cannot invoke RPC on closed channel!) and passes.

--- a/libs/wire/src/cassiahold/wire/transport.py
+++ b/libs/wire/src/cassiahold/wire/transport.py
@@ -176,7 +176,8 @@
 class _Connection:
     """A gRPC channel that closes once it is retired and no call uses it.
 
-    Closing a gRPC channel cancels the calls in progress on it.
+    Closing a gRPC channel cancels the calls in progress on it.  Each ``call``
+    has to be announced by ``begin_call``, which keeps the channel open.
     """
 
     def __init__(self, grpc_channel: typing.Any) -> None:
@@ -185,13 +186,16 @@
         self._calls_in_progress = 0
         self._is_retired = False
 
+    def begin_call(self) -> None:
+        """Keep the channel open for one call."""
+        with self._lock:
+            self._calls_in_progress += 1
+
     def call(self, method: str, payload: bytes, timeout_s: float) -> bytes:
         """Return the reply to one unary call.
 
-        Raises ``grpc.RpcError``, and ``ValueError`` on a closed channel.
+        Raises ``grpc.RpcError``, and ``ValueError`` after ``close``.
         """
-        with self._lock:
-            self._calls_in_progress += 1
         try:
             return typing.cast(
                 bytes,
@@ -253,8 +257,8 @@
         Raises ``UNREACHABLE`` when the request cannot have arrived and
         ``OUTCOME_UNKNOWN`` when it may have.
         """
-        connection = self._open_connection()
         payload = _encode(CallEnvelope(group, request, traceparent))
+        connection = self._open_connection()
         try:
             raw_reply = connection.call(_CALL_METHOD, payload, timeout_s)
         except grpc.RpcError as exc:
@@ -267,8 +271,8 @@
         Raises ``UNREACHABLE`` when they cannot have arrived and
         ``OUTCOME_UNKNOWN`` when they may have.
         """
-        connection = self._open_connection()
         payload = _encode(EnvelopeBatch(envelopes))
+        connection = self._open_connection()
         try:
             connection.call(_DELIVER_METHOD, payload, _DELIVERY_TIMEOUT_S)
         except grpc.RpcError as exc:
@@ -291,19 +295,22 @@
         connection.retire()
 
     def _open_connection(self) -> _Connection:
+        """Return the current connection, kept open for one call."""
         with self._lock:
             mtime = self._security.newest_mtime()
-            replaced = self._current_connection
-            if replaced is not None and mtime == self._certificate_mtime:
-                return replaced
-            self._certificate_mtime = mtime
-            opened = _Connection(
-                self._security.open_channel(self.address, _GRPC_OPTIONS)
-            )
-            self._current_connection = opened
+            connection = self._current_connection
+            replaced = None
+            if connection is None or mtime != self._certificate_mtime:
+                replaced = connection
+                connection = _Connection(
+                    self._security.open_channel(self.address, _GRPC_OPTIONS)
+                )
+                self._current_connection = connection
+                self._certificate_mtime = mtime
+            connection.begin_call()
         if replaced is not None:
             replaced.retire()
-        return opened
+        return connection
 
     def _error_for(
         self, exc: typing.Any, connection: _Connection
--- a/libs/wire/tests/test_transport.py
+++ b/libs/wire/tests/test_transport.py
@@ -191,6 +191,40 @@
     assert outcomes.count(ConfigurationChanged(1)) == 1
 
 
+class _OvertakenChannel(Channel):
+    """Another call times out just before the first one is sent."""
+
+    is_overtaken = False
+
+    def _open_connection(self) -> typing.Any:
+        connection = super()._open_connection()
+        if not self.is_overtaken:
+            self.is_overtaken = True
+            expect_error(
+                ErrorKind.OUTCOME_UNKNOWN,
+                lambda: self.call(GROUP, GetStatus(), 0.1),
+            )
+        return connection
+
+
+def test_connection_replaced_before_a_call_is_sent_serves_the_call() -> None:
+    address = free_address()
+    calls: list[Request] = []
+
+    def reply_to_the_second(group: GroupName, request: Request) -> Reply:
+        calls.append(request)
+        if len(calls) == 1:
+            time.sleep(0.5)
+        return ConfigurationChanged(1)
+
+    with (
+        server(address, reply_to_the_second),
+        contextlib.closing(_OvertakenChannel(address, PLAIN)) as channel,
+    ):
+        reply = channel.call(GROUP, GetStatus(), 5.0)
+    assert reply == ConfigurationChanged(1)
+
+
 def test_connections_replaced_repeatedly_keep_their_calls() -> None:
     address = free_address()
     has_arrived, may_reply = threading.Event(), threading.Event()
