--- a/programs/cell/src/cassiahold/cell/leader_client.py
+++ b/programs/cell/src/cassiahold/cell/leader_client.py
@@ -32,9 +32,17 @@
 
 class _RetryState(msgspec.Struct):
     deadline_at: float
+    # Later deadline once a try may have been carried out.
+    resolve_at: float
     unknown_outcome: CassiaholdError | None = None
     last_reason: str = 'no replica is known'
 
+    def time_left_s(self) -> float:
+        """Return how long the request may still be tried."""
+        has_unknown_outcome = self.unknown_outcome is not None
+        until = self.resolve_at if has_unknown_outcome else self.deadline_at
+        return until - boottime_s()
+
 
 class LeaderClient:
     """Finds the leader, sends requests to it and retries until a deadline.
@@ -77,19 +85,31 @@
         """Return the seconds since a leader last replied."""
         return boottime_s() - self._leader_replied_at
 
-    def call_leader(self, request: typing.Any, timeout_s: float) -> typing.Any:
+    def call_leader(
+        self,
+        request: typing.Any,
+        timeout_s: float,
+        resolve_timeout_s: float = 0.0,
+    ) -> typing.Any:
         """Return the leader's reply to an idempotent request.
 
+        Once a try may have been carried out, the request is repeated for
+        ``resolve_timeout_s``, if that is longer: an answer that says neither
+        yes nor no is of little use to a caller.
+
         Raises ``OUTCOME_UNKNOWN`` when a leader may have carried it out in
         one of the tries; otherwise an error of the kind with which the leader
         refused, or ``NO_QUORUM`` when no leader has received the request.
         """
-        retry_state = _RetryState(boottime_s() + timeout_s)
+        now = boottime_s()
+        retry_state = _RetryState(
+            now + timeout_s, now + max(timeout_s, resolve_timeout_s)
+        )
         while True:
             reply = self._try_candidates(request, retry_state)
             if reply is not None:
                 return reply
-            if boottime_s() + RETRY_PAUSE_S >= retry_state.deadline_at:
+            if retry_state.time_left_s() <= RETRY_PAUSE_S:
                 break
             self._stopped.wait(RETRY_PAUSE_S)
         self._record_leader_lost(retry_state.last_reason)
@@ -101,7 +121,7 @@
         self, request: typing.Any, retry_state: '_RetryState'
     ) -> typing.Any:
         for address in self._directory.candidates():
-            time_left_s = retry_state.deadline_at - boottime_s()
+            time_left_s = retry_state.time_left_s()
             if time_left_s <= 0:
                 break
             try:
--- a/programs/cell/src/cassiahold/cell/node.py
+++ b/programs/cell/src/cassiahold/cell/node.py
@@ -121,9 +121,16 @@
         self._stopped.set()
         self._stack.close()
 
-    def call_leader(self, request: typing.Any, timeout_s: float) -> typing.Any:
+    def call_leader(
+        self,
+        request: typing.Any,
+        timeout_s: float,
+        resolve_timeout_s: float = 0.0,
+    ) -> typing.Any:
         """Return the leader's reply to an idempotent request.
 
+        ``LeaderClient.call_leader`` describes the time-outs.
+
         Raises ``NO_QUORUM`` at once while no leader replies; a background
         thread keeps locating one.
         """
@@ -132,7 +139,9 @@
             raise CassiaholdError(
                 ErrorKind.NO_QUORUM, f'no leader for {silence_s:.1f} s'
             )
-        return self.leader_client.call_leader(request, timeout_s)
+        return self.leader_client.call_leader(
+            request, timeout_s, resolve_timeout_s
+        )
 
     def handle(self, request: typing.Any) -> typing.Any:
         """Handle a request in this process; errors become refusals."""
--- a/programs/cell/tests/test_leader_client.py
+++ b/programs/cell/tests/test_leader_client.py
@@ -12,6 +12,7 @@
 from cassiahold.wire.security import TransportSecurity
 
 LOST_REPLY = CassiaholdError(ErrorKind.OUTCOME_UNKNOWN, 'no reply')
+NO_LEADER = CassiaholdError(ErrorKind.NO_QUORUM, 'not the leader')
 OVERLOADED = CassiaholdError(ErrorKind.OVERLOADED, 'too many calls')
 REQUEST = requests.GetWork('host', '/queue/1', 'key')
 TIMEOUT_S = 5.0
@@ -55,4 +56,20 @@
     assert client.call_leader(REQUEST, TIMEOUT_S) == 'reply'
 
 
+def test_unknown_outcome_is_resolved_beyond_the_time_of_a_refusal() -> None:
+    """The leader is killed with a submission on its way to it.
+
+    Callers cannot repeat a request whose outcome is unknown, so the client
+    goes on until the next leader tells; what no leader has received is
+    refused in time to be tried elsewhere.
+    """
+    lost = ScriptedLeaderClient(LOST_REPLY, *(NO_LEADER,) * 20, 'stored')
+    assert lost.call_leader(REQUEST, 0.05, TIMEOUT_S) == 'stored'
+    refused = ScriptedLeaderClient(*(NO_LEADER,) * 20, 'stored')
+    expect_error(
+        ErrorKind.NO_QUORUM,
+        lambda: refused.call_leader(REQUEST, 0.05, TIMEOUT_S),
+    )
+
+
 load_tests = function_tests(globals())
