Probe a silent replica before it gets another submission

Change: a process that did not reply to the last call is asked for its view first, which has no effect; without a reply the submission is refused as not run. Only what is on its way when the leader falls silent stays unknown.

Result: test_silent_replica_is_probed_before_it_gets_another_request fails before and passes.

--- a/programs/cell/src/cassiahold/cell/discovery.py
+++ b/programs/cell/src/cassiahold/cell/discovery.py
@@ -60,6 +60,10 @@
         """Record that a process did not reply; others are tried before it."""
         self._unreachable.add(address)
 
+    def is_suspect(self, address: str) -> bool:
+        """Tell whether the last call to a process got no reply."""
+        return address in self._unreachable
+
     def candidates(self) -> list[str]:
         """Return every known address once, the likely leader first."""
         addresses = dict.fromkeys((*self._members, *self._seeds))
--- a/programs/cell/src/cassiahold/cell/leader_client.py
+++ b/programs/cell/src/cassiahold/cell/leader_client.py
@@ -125,6 +125,7 @@
             if time_left_s <= 0:
                 break
             try:
+                self._probe_if_suspect(address, time_left_s)
                 reply = self.call(
                     address, request, min(time_left_s, CALL_TIMEOUT_S)
                 )
@@ -137,6 +138,19 @@
                 break
         return None
 
+    def _probe_if_suspect(self, address: str, time_left_s: float) -> None:
+        """Send no request to a process that did not reply to the last one.
+
+        Asking it for its view has no effect, so a request that is refused
+        because of a failed probe has certainly not been carried out.
+        """
+        if not self._directory.is_suspect(address):
+            return
+        try:
+            self.call(address, Locate(), min(time_left_s, LOCATE_TIMEOUT_S))
+        except CassiaholdError as exc:
+            raise CassiaholdError(ErrorKind.UNREACHABLE, exc.detail) from exc
+
     def _handle_failure(
         self, address: str, exc: CassiaholdError, retry_state: '_RetryState'
     ) -> None:
--- a/programs/cell/tests/test_leader_client.py
+++ b/programs/cell/tests/test_leader_client.py
@@ -72,4 +72,39 @@
     )
 
 
+class SilentReplica(LeaderClient):
+    """A client whose only replica never replies."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            ReplicaDirectory(('a:1',)),
+            TransportSecurity(TlsSettings(mode='plain'), pathlib.Path()),
+        )
+        self.sent_requests: list[typing.Any] = []
+
+    def _call_remote(
+        self, address: str, request: typing.Any, timeout_s: float
+    ) -> typing.Any:
+        self.sent_requests.append(request)
+        self._directory.mark_unreachable(address)
+        raise LOST_REPLY
+
+
+def test_silent_replica_is_probed_before_it_gets_another_request() -> None:
+    """All core hosts lose power while hundreds of submissions arrive.
+
+    Only those on their way at that moment have an unknown outcome; the later
+    ones have certainly not run, so that their callers may send them again.
+    """
+    client = SilentReplica()
+    expect_error(
+        ErrorKind.OUTCOME_UNKNOWN, lambda: client.call_leader(REQUEST, 0.01)
+    )
+    for _ in range(3):
+        expect_error(
+            ErrorKind.NO_QUORUM, lambda: client.call_leader(REQUEST, 0.01)
+        )
+    assert client.sent_requests.count(REQUEST) == 1
+
+
 load_tests = function_tests(globals())
