--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -27,10 +27,11 @@
 from cassiahold.workflows.configuration import QueuePolicy
 from cassiahold.workflows.load import measure_load
 from cassiahold.workflows.model import JobRecord
-from cassiahold.workflows.pacing import pause_after_pass
 from cassiahold.workflows.planning import Planner, PlanningContext
 from cassiahold.workflows.state import WorkflowState
 
+PLAN_INTERVAL_S: typing.Final = 0.05  # between passes without changes
+PLAN_PAUSE_S: typing.Final = 0.008  # minimum between passes with changes
 PRUNE_INTERVAL_S: typing.Final = 5.0
 REPORT_INTERVAL_S: typing.Final = 1.0
 _MS: typing.Final = 1000
@@ -45,7 +46,6 @@
     advisor_replies: AdvisorReplyCache
     planner: Planner
     planned_at: float = 0.0
-    plan_duration_s: float = 0.0
     pruned_at: float = 0.0
     reported_at: float = 0.0
     has_changes: bool = True
@@ -136,9 +136,7 @@
             leader_state.reported_at = now
             self._report_load(leader_state, now)
         elapsed_s = now - leader_state.planned_at
-        pause_s = pause_after_pass(
-            leader_state.plan_duration_s, has_changes=leader_state.has_changes
-        )
+        pause_s = PLAN_PAUSE_S if leader_state.has_changes else PLAN_INTERVAL_S
         if elapsed_s >= pause_s and not leader_state.pending_starts_payload:
             leader_state.planned_at = now
             leader_state.has_changes = False
@@ -175,7 +173,6 @@
     def _plan(
         self, leader_state: _LeaderState, now: float
     ) -> list[commands.Command]:
-        started_at = boottime_s()
         plan = leader_state.planner.plan(
             PlanningContext(
                 leader_state.worker_sessions.usable_workers(now),
@@ -183,8 +180,7 @@
                 time.time(),
             )
         )
-        leader_state.plan_duration_s = boottime_s() - started_at
-        self._metrics.timing('plan', leader_state.plan_duration_s * _MS)
+        self._metrics.timing('plan', (boottime_s() - now) * _MS)
         self._metrics.incr('starts_planned', sum(map(len, plan.start_groups)))
         for query in plan.advisor_queries:
             leader_state.advisor_replies.record_query(query.step, query.workers)
