Log a start that is in the log of the cell and is never sent

The third hypothesis of the lost work could not be told from the others: a start for a worker without a session or without a lease to grant was dropped without a line, and its task waited. Only the log line is new.

--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -479,9 +479,11 @@
     def _send_start(self, start: commands.AttemptStart, now: float) -> None:
         session = self._session_by_worker.get(start.worker)
         if session is None or session.info.incarnation != start.incarnation:
+            _log_unsent_start(start, 'no_session')
             return
         until_ms = session.lease_until_ms(now)
         if until_ms is None:
+            _log_unsent_start(start, 'no_lease')
             return
         step = start.attempt.task.step
         record = self._state.job_by_id[step.job]
@@ -534,3 +536,16 @@
         self._session_by_worker[info.id] = session
         self._deregistered_at_by_worker.pop(info.id, None)
         self._request_sender.start_polling(info, fence)
+
+
+def _log_unsent_start(start: commands.AttemptStart, reason: str) -> None:
+    step = start.attempt.task.step
+    logs.info(
+        'start_not_sent',
+        job=step.job,
+        step=step.step_index,
+        task=start.attempt.task.task_index,
+        attempt=start.attempt.attempt_number,
+        worker=start.worker,
+        why=reason,
+    )
