Send no start to a worker whose poll failed until it replies

What callers saw: a task was started several times in a row on workers that had just crashed, and stood for about 3 s each time although most of the capacity was free.

Cause: a failed poll was no evidence for the planner; the worker stayed usable until the silence timeout of 1.5 s, and looked best since its load was gone. A session now counts a worker as failing from a failed poll to its next reply.

The test failed before: the start was sent.

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -99,6 +99,7 @@
         self._clock_read_at = now
         self._is_clock_known = False
         self._paused_until = now
+        self._is_failing = False
         self._start_by_attempt: dict[AttemptKey, _StartState] = {}
 
     @property
@@ -109,7 +110,8 @@
     def is_usable(self, now: float) -> bool:
         """Tell whether new work may be sent to the worker."""
         return (
-            not self._is_silent(now)
+            not self._is_failing
+            and not self._is_silent(now)
             and now >= self._paused_until
             and not self.info.is_draining
         )
@@ -195,7 +197,11 @@
         return self.last_stored_end if now < self._acknowledge_until else 0
 
     def record_poll_failed(self) -> None:
-        """Record that a poll got no reply: the worker may have restarted."""
+        """Record that a poll got no reply: the worker may have restarted.
+
+        The worker gets no new work until it replies to a poll.
+        """
+        self._is_failing = True
         self._acknowledge_until = 0.0
 
     def reconcile(
@@ -212,6 +218,7 @@
         """
         is_first_reply = not self.has_replied
         self.last_reply_at = now
+        self._is_failing = False
         self._acknowledge_until = now + ACKNOWLEDGEMENT_WINDOW_S
         self.record_clock(reply.clock_ms, now)
         findings = PollFindings()
--- a/programs/cell/tests/test_worker_sessions.py
+++ b/programs/cell/tests/test_worker_sessions.py
@@ -274,6 +274,18 @@
     ]
 
 
+def test_failed_poll_keeps_starts_off_a_worker_until_it_replies() -> None:
+    # A crashed worker refuses connections for seconds and looks idle.
+    leader = make_leader('w')
+    fence = leader.sender.fence_by_worker[WorkerId('w')]
+    leader.handle(local.PollDone(WorkerId('w'), fence, None, boottime_s()))
+    submit(leader, '/q/1')
+    assert not leader.sender.starts
+    leader.reply_to_poll('w')
+    leader.apply_due_commands(boottime_s() + 1)
+    assert len(leader.sender.starts) == 1
+
+
 def start_gang(leader: LeaderFixture) -> list[StartRequest]:
     spec = WorkflowSpec(
         'payload', (StepSpec(2, Resources(2000, 10), is_gang=True),)
