Free a task at once when its start cannot have arrived

Cause: a refused connection was reported like a lost reply, so the start counted as possibly carried out and held its task and resources until the worker was back. Clients of workers now raise UNREACHABLE when no connection could be established. Only a start of which every try failed that way, or that was withdrawn before its first try, ends as lost at once; one try with an unknown outcome keeps the start unknown. An unreachable worker counts as failing until its next reply to a poll.

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -204,6 +204,13 @@
         self._is_failing = True
         self._acknowledge_until = 0.0
 
+    def record_unreachable(self) -> None:
+        """Record that no connection to the worker could be established.
+
+        The worker gets no new work until it replies to a poll.
+        """
+        self._is_failing = True
+
     def reconcile(
         self,
         reply: PollReply,
--- a/programs/cell/src/cassiahold/cell/clients.py
+++ b/programs/cell/src/cassiahold/cell/clients.py
@@ -82,7 +82,11 @@
 
 
 class WorkerClient(typing.Protocol):
-    """Client of the workers; raises ``OUTCOME_UNKNOWN`` without a reply."""
+    """Client of the workers.
+
+    Without a reply, raises ``UNREACHABLE`` when the request cannot have
+    arrived and ``OUTCOME_UNKNOWN`` when it may have.
+    """
 
     def start(self, request: StartRequest, timeout_s: float) -> WorkerReply:
         """Start an attempt."""
@@ -108,5 +112,5 @@
     ) -> AdvisorReply:
         """Return which of some workers may run a step.
 
-        Raises ``OUTCOME_UNKNOWN`` without a reply.
+        Raises ``UNREACHABLE`` or ``OUTCOME_UNKNOWN`` without a reply.
         """
--- a/programs/cell/src/cassiahold/cell/local_requests.py
+++ b/programs/cell/src/cassiahold/cell/local_requests.py
@@ -4,6 +4,8 @@
 the process.
 """
 
+import enum
+
 import msgspec
 
 from cassiahold.cell.clients import WorkerReply
@@ -14,6 +16,18 @@
 from cassiahold.workflows.sessions import PollReply
 
 
+class Delivery(enum.Enum):
+    """Whether a request without a reply may have arrived at the worker.
+
+    ``UNREACHABLE`` means that no try could connect, ``NOT_SENT`` that the
+    request was withdrawn before the first try.
+    """
+
+    POSSIBLE = 'possible'
+    UNREACHABLE = 'unreachable'
+    NOT_SENT = 'not_sent'
+
+
 class GetFirstPoll(msgspec.Struct, frozen=True):
     """Asks for the first poll of a session."""
 
@@ -41,6 +55,7 @@
     fence: int
     attempt: AttemptKey
     reply: WorkerReply | None
+    delivery: Delivery = Delivery.POSSIBLE
 
 
 class StopDone(msgspec.Struct, frozen=True):
--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -4,6 +4,7 @@
 import threading
 import typing
 
+import msgspec
 import pykka
 
 from cassiahold.agreement.replica import NotLeaderError
@@ -139,7 +140,7 @@
         )
 
     def _start_attempt(self, request: StartRequest) -> None:
-        reply = _call_with_retries(
+        outcome = _call_with_retries(
             MAX_START_TRIES,
             lambda: self._workers.start(request, REQUEST_TIMEOUT_S),
             lambda: self._pending_starts.is_pending(request.attempt),
@@ -147,18 +148,25 @@
         self._pending_starts.remove(request.attempt)
         self._report(
             local.StartDone(
-                request.worker.id, request.fence, request.attempt, reply
+                request.worker.id,
+                request.fence,
+                request.attempt,
+                outcome.reply,
+                outcome.delivery,
             )
         )
 
     def _stop_attempt(self, request: StopRequest) -> None:
-        reply = _call_with_retries(
+        outcome = _call_with_retries(
             MAX_STOP_TRIES,
             lambda: self._workers.stop(request, REQUEST_TIMEOUT_S),
         )
         self._report(
             local.StopDone(
-                request.worker.id, request.fence, request.attempt, reply
+                request.worker.id,
+                request.fence,
+                request.attempt,
+                outcome.reply,
             )
         )
 
@@ -211,6 +219,11 @@
         return self._clock() < added_at + MAX_START_AGE_S
 
 
+class _CallOutcome(msgspec.Struct):
+    reply: WorkerReply | None = None
+    delivery: local.Delivery = local.Delivery.NOT_SENT
+
+
 def _always() -> bool:
     return True
 
@@ -219,15 +232,20 @@
     max_tries: int,
     call: typing.Callable[[], WorkerReply],
     should_try: typing.Callable[[], bool] = _always,
-) -> WorkerReply | None:
+) -> _CallOutcome:
+    outcome = _CallOutcome()
     for _ in range(max_tries):
         if not should_try():
             break
         try:
-            return call()
+            return _CallOutcome(call(), local.Delivery.POSSIBLE)
         except CassiaholdError as exc:
             logs.info('order_unanswered', reason=exc.detail)
-    return None
+            if exc.kind is not ErrorKind.UNREACHABLE:
+                outcome.delivery = local.Delivery.POSSIBLE
+            elif outcome.delivery is local.Delivery.NOT_SENT:
+                outcome.delivery = local.Delivery.UNREACHABLE
+    return outcome
 
 
 def _not_attached(request: typing.Any) -> typing.Any:
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -1,5 +1,6 @@
 """The leader's sessions with workers and the handling of their replies."""
 
+import enum
 import time
 import typing
 
@@ -386,8 +387,8 @@
         """Handle a worker's reply to a start.
 
         A start without a reply may have been carried out, so it is stopped,
-        with the members of its gang, which cannot complete any more.  A
-        refused start ends as lost.
+        with the members of its gang, which cannot complete any more.  A start
+        that was refused or cannot have arrived ends as lost.
         """
         session = self._find_session(request.worker, request.fence)
         reply = request.reply
@@ -400,14 +401,13 @@
             task=request.attempt.task.task_index,
             attempt=request.attempt.attempt_number,
             worker=request.worker,
-            answer='none' if reply is None else reply.status.value,
+            answer=_describe_answer(request),
             expected_s=self._state.step_spec(
                 request.attempt.task.step
             ).expected_s,
         )
         if reply is None:
-            self._handle_unanswered_start(session, request.attempt)
-            return requests.Acknowledged()
+            return self._handle_start_without_reply(session, request)
         self._metrics.incr(f'start.{reply.status.value}')
         session.record_clock(reply.clock_ms, now)
         if reply.status is ReplyStatus.DONE:
@@ -417,12 +417,18 @@
             return requests.Acknowledged()
         return self._handle_refused_start(session, request.attempt, reply, now)
 
-    def _handle_unanswered_start(
-        self, session: WorkerSession, attempt: AttemptKey
-    ) -> None:
-        session.record_start_without_reply(attempt)
-        self._stopper.stop(attempt, session.info.id, 'unanswered')
-        self._stopper.stop_gang(attempt)
+    def _handle_start_without_reply(
+        self, session: WorkerSession, request: local.StartDone
+    ) -> requests.Acknowledged | Proposal:
+        attempt = request.attempt
+        if request.delivery is local.Delivery.POSSIBLE:
+            session.record_start_without_reply(attempt)
+            self._stopper.stop(attempt, session.info.id, 'unanswered')
+            self._stopper.stop_gang(attempt)
+            return requests.Acknowledged()
+        if request.delivery is local.Delivery.UNREACHABLE:
+            session.record_unreachable()
+        return self._end_as_lost(session, attempt)
 
     def stop_done(
         self, request: local.StopDone, now: float
@@ -466,6 +472,11 @@
             self._advisor_replies.drop_ticket(
                 attempt.task.step, session.info.id
             )
+        return self._end_as_lost(session, attempt)
+
+    def _end_as_lost(
+        self, session: WorkerSession, attempt: AttemptKey
+    ) -> Proposal:
         result = commands.AttemptResult(
             attempt, session.info.id, AttemptOutcome.LOST
         )
@@ -538,6 +549,15 @@
         self._request_sender.start_polling(info, fence)
 
 
+def _describe_answer(request: local.StartDone) -> str:
+    answer: enum.Enum = request.delivery
+    if request.reply is not None:
+        answer = request.reply.status
+    elif request.delivery is local.Delivery.POSSIBLE:
+        return 'none'
+    return str(answer.value)
+
+
 def _log_unsent_start(start: commands.AttemptStart, reason: str) -> None:
     step = start.attempt.task.step
     logs.info(
--- a/programs/cell/tests/test_request_sender.py
+++ b/programs/cell/tests/test_request_sender.py
@@ -1,6 +1,8 @@
 """Tests of the threads that send requests, against a scripted client."""
 
 import contextlib
+import itertools
+import queue
 import threading
 import typing
 
@@ -12,6 +14,7 @@
     WorkerReply,
 )
 from cassiahold.cell.request_sender import ThreadedRequestSender
+from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import DataCentre, JobId, WorkerId
 from cassiahold.core.resources import Resources
 from cassiahold.core.testing import function_tests
@@ -80,7 +83,37 @@
         workers.may_reply.set()
         assert reports.is_complete.wait(TIMEOUT_S)
     assert sorted(workers.sent_requests) == ['start first', 'stop cancelled']
-    assert reports.start_by_job['cancelled'].reply is None
+    cancelled = reports.start_by_job['cancelled']
+    assert cancelled.reply is None
+    assert cancelled.delivery is local.Delivery.NOT_SENT
+
+
+class FailingWorkerClient:
+    """A client whose tries fail with one error kind after the other."""
+
+    def __init__(self, *kinds: ErrorKind) -> None:
+        self._kinds = itertools.cycle(kinds)
+
+    def start(self, request: StartRequest, timeout_s: float) -> WorkerReply:
+        raise CassiaholdError(next(self._kinds), 'no reply')
+
+
+def deliver_start(*kinds: ErrorKind) -> local.Delivery:
+    reports: queue.SimpleQueue[local.StartDone] = queue.SimpleQueue()
+    with contextlib.ExitStack() as stack:
+        sender = ThreadedRequestSender(FailingWorkerClient(*kinds), None, 1)
+        stack.callback(sender.close)
+        sender.attach(reports.put, _UnusedLeaderClient())
+        sender.send_start(StartRequest(WORKER, attempt_of('first'), '', 1, 1))
+        return reports.get(timeout=TIMEOUT_S).delivery
+
+
+def test_start_is_undelivered_only_if_no_try_could_connect() -> None:
+    unreachable, unknown = ErrorKind.UNREACHABLE, ErrorKind.OUTCOME_UNKNOWN
+    assert deliver_start(unreachable) is local.Delivery.UNREACHABLE
+    # One try may still be on its way.
+    assert deliver_start(unreachable, unknown) is local.Delivery.POSSIBLE
+    assert deliver_start(unknown, unreachable) is local.Delivery.POSSIBLE
 
 
 class PausedClock:
--- a/programs/cell/tests/test_worker_sessions.py
+++ b/programs/cell/tests/test_worker_sessions.py
@@ -286,6 +286,42 @@
     assert len(leader.sender.starts) == 1
 
 
+def test_start_that_cannot_have_arrived_frees_its_task_at_once() -> None:
+    leader = make_leader('v', 'w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    leader.handle(
+        local.StartDone(
+            start.worker.id,
+            start.fence,
+            start.attempt,
+            None,
+            local.Delivery.UNREACHABLE,
+        )
+    )
+    leader.apply_due_commands(boottime_s() + 1)
+    first, second = leader.sender.starts
+    assert second.worker.id != first.worker.id
+    assert not leader.sender.stops
+
+
+def test_withdrawn_start_does_not_blame_its_worker() -> None:
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    leader.handle(
+        local.StartDone(
+            start.worker.id,
+            start.fence,
+            start.attempt,
+            None,
+            local.Delivery.NOT_SENT,
+        )
+    )
+    leader.apply_due_commands(boottime_s() + 1)
+    assert len(leader.sender.starts) == 2
+
+
 def start_gang(leader: LeaderFixture) -> list[StartRequest]:
     spec = WorkflowSpec(
         'payload', (StepSpec(2, Resources(2000, 10), is_gang=True),)
