End a start at once that is in the log and is not sent

A start for a worker that had become silent or was being removed while the start was stored was dropped: its task and resources were held until the worker replied or its leases expired.

Only the leader of the start's term sends it, so the attempt now ends as lost with the next commands. The same holds for a worker whose polls have failed in the meantime; its start was sent before.

The test failed before: the start was sent to the failing worker.

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -99,7 +99,7 @@
         self._clock_read_at = now
         self._is_clock_known = False
         self._paused_until = now
-        self._is_failing = False
+        self.is_failing = False
         self._start_by_attempt: dict[AttemptKey, _StartState] = {}
 
     @property
@@ -110,7 +110,7 @@
     def is_usable(self, now: float) -> bool:
         """Tell whether new work may be sent to the worker."""
         return (
-            not self._is_failing
+            not self.is_failing
             and not self._is_silent(now)
             and now >= self._paused_until
             and not self.info.is_draining
@@ -201,7 +201,7 @@
 
         The worker gets no new work until it replies to a poll.
         """
-        self._is_failing = True
+        self.is_failing = True
         self._acknowledge_until = 0.0
 
     def record_unreachable(self) -> None:
@@ -209,7 +209,7 @@
 
         The worker gets no new work until it replies to a poll.
         """
-        self._is_failing = True
+        self.is_failing = True
 
     def reconcile(
         self,
@@ -225,7 +225,7 @@
         """
         is_first_reply = not self.has_replied
         self.last_reply_at = now
-        self._is_failing = False
+        self.is_failing = False
         self._acknowledge_until = now + ACKNOWLEDGEMENT_WINDOW_S
         self.record_clock(reply.clock_ms, now)
         findings = PollFindings()
--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -127,7 +127,7 @@
         """
         leader_state = self._require_leader_state()
         due: list[commands.Command] = list(
-            leader_state.worker_sessions.removal_commands(now)
+            leader_state.worker_sessions.due_commands(now)
         )
         if now >= leader_state.pruned_at + PRUNE_INTERVAL_S:
             leader_state.pruned_at = now
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -64,6 +64,7 @@
         self._heartbeats = HeartbeatTracker()
         self._deregistered_at_by_worker: dict[WorkerId, float] = {}
         self._checkpoint_by_attempt: dict[AttemptKey, str] = {}
+        self._unsent_results: list[commands.AttemptResult] = []
         self.health = HealthTracker()
         self.timelines = JobTimelines()
         self._stopper = AttemptStopper(
@@ -89,7 +90,15 @@
             and not self.health.is_quarantined(worker_id, now)
         )
 
-    def removal_commands(self, now: float) -> list[commands.Command]:
+    def due_commands(self, now: float) -> list[commands.Command]:
+        """Return the commands that end unsent starts and remove workers."""
+        due = self._removal_commands(now)
+        if self._unsent_results:
+            due.append(commands.EndAttempts(self._unsent_results, time.time()))
+            self._unsent_results = []
+        return due
+
+    def _removal_commands(self, now: float) -> list[commands.Command]:
         """Return the commands that remove deregistered and expired workers.
 
         Such a worker runs nothing any more: its process has ended or all of
@@ -490,11 +499,14 @@
     def _send_start(self, start: commands.AttemptStart, now: float) -> None:
         session = self._session_by_worker.get(start.worker)
         if session is None or session.info.incarnation != start.incarnation:
-            _log_unsent_start(start, 'no_session')
+            self._end_unsent_start(start, 'no_session')
+            return
+        if session.is_failing:
+            self._end_unsent_start(start, 'failing')
             return
         until_ms = session.lease_until_ms(now)
         if until_ms is None:
-            _log_unsent_start(start, 'no_lease')
+            self._end_unsent_start(start, 'no_lease')
             return
         step = start.attempt.task.step
         record = self._state.job_by_id[step.job]
@@ -514,6 +526,17 @@
             )
         )
 
+    def _end_unsent_start(
+        self, start: commands.AttemptStart, reason: str
+    ) -> None:
+        """End an attempt as lost; only the leader of its term could send it."""
+        _log_unsent_start(start, reason)
+        self._unsent_results.append(
+            commands.AttemptResult(
+                start.attempt, start.worker, AttemptOutcome.LOST
+            )
+        )
+
     # Sessions.
 
     def _find_session(
--- a/programs/cell/tests/test_worker_sessions.py
+++ b/programs/cell/tests/test_worker_sessions.py
@@ -322,6 +322,22 @@
     assert len(leader.sender.starts) == 2
 
 
+def test_start_that_is_not_sent_frees_its_task_at_once() -> None:
+    # The worker fails while its start is being stored in the log.
+    leader = make_leader('v', 'w')
+    leader.handle(requests.SubmitWork('h', '/q/1', 'key', SPEC))
+    payloads = leader.service.due_commands(boottime_s())
+    for worker, fence in list(leader.sender.fence_by_worker.items()):
+        leader.handle(local.PollDone(worker, fence, None, boottime_s()))
+    for payload in payloads:
+        leader.service.apply(payload)
+    assert not leader.sender.starts
+    leader.reply_to_poll('v')
+    leader.apply_due_commands(boottime_s() + 0.1)
+    leader.apply_due_commands(boottime_s() + 0.2)
+    assert [start.worker.id for start in leader.sender.starts] == ['v']
+
+
 def start_gang(leader: LeaderFixture) -> list[StartRequest]:
     spec = WorkflowSpec(
         'payload', (StepSpec(2, Resources(2000, 10), is_gang=True),)
