Count crashes of workers against the tasks that ran on them

What callers saw: work that ends its workers was started for as long as its job was open, and took down one worker after the other with everything that ran there.

Cause: only an attempt that ended as failed was counted. One that ended with its worker was lost and counted nowhere, whichever leader saw it.

A crash is now seen by the worker's own word: it returns in a new incarnation, or another process has its address. Silence, a lapsed lease and a departure are no crashes. The evidence is stored with the end of the attempt, so it counts once and across leaders: 2 for an attempt whose start was sent in the last 0.5 s before the crash, 1 for any other. At 5 the job is given up. A long-running task is cleared by a run of 30 s. worker_crashed, run_ended crash= and job_finished reason=crashes tell it. The ends of attempts moved to a module of their own.

The tests failed before (the task was started again for ever; there was no count).

--- a/libs/workflows/src/cassiahold/workflows/allocations.py
+++ b/libs/workflows/src/cassiahold/workflows/allocations.py
@@ -32,11 +32,18 @@
         attempt: AttemptKey,
         worker_id: WorkerId,
         resources: Resources,
+        *,
+        is_suspect: bool,
     ) -> None:
-        """Allocate resources of a worker to an attempt."""
+        """Allocate resources of a worker to an attempt.
+
+        ``is_suspect`` marks an attempt of a task that may crash its worker.
+        """
         worker = self._worker_by_id[worker_id]
         worker.allocated += resources
         worker.resources_by_attempt[attempt] = resources
+        if is_suspect:
+            worker.suspect_attempts.add(attempt)
         self._allocated_by_team[team] = self.usage_of(team) + resources
 
     def release(
@@ -46,4 +53,5 @@
         worker = self._worker_by_id[worker_id]
         resources = worker.resources_by_attempt.pop(attempt)
         worker.allocated -= resources
+        worker.suspect_attempts.discard(attempt)
         self._allocated_by_team[team] = self.usage_of(team) - resources
--- a/libs/workflows/src/cassiahold/workflows/attempt_results.py
+++ b/libs/workflows/src/cassiahold/workflows/attempt_results.py
@@ -1,7 +1,19 @@
 """Updates of job and worker records after an attempt has ended."""
 
-from cassiahold.workflows.commands import AttemptResult
-from cassiahold.workflows.model import AttemptOutcome, JobRecord, WorkerRecord
+from cassiahold.workflows.commands import AttemptResult, FailureReason
+from cassiahold.workflows.configuration import QueuePolicy
+from cassiahold.workflows.crashes import (
+    MAX_CRASH_SCORE,
+    PROVEN_RUN_S,
+    CrashEvidence,
+)
+from cassiahold.workflows.model import (
+    AttemptOutcome,
+    JobRecord,
+    StepSpec,
+    TaskRecord,
+    WorkerRecord,
+)
 
 
 def update_speed(
@@ -57,18 +69,42 @@
     return step.remaining_tasks
 
 
-def mark_failed(record: JobRecord, result: AttemptResult) -> int:
-    """Count a failed attempt; return the failures of its task or gang.
+def count_against_task(
+    record: JobRecord, result: AttemptResult, queue: QueuePolicy | None
+) -> FailureReason | None:
+    """Count a failure or a crash; return why the job is hopeless, if it is.
 
-    Returns 0, without counting, for a task that is already done.
+    A job fails when a task or gang has failed as often as its queue allows,
+    or when a task has crashed its workers too often.  A task that is already
+    done counts no more.
     """
     key = result.attempt.task.step
     step = record.step(key)
     task = step.tasks[result.attempt.task.task_index]
+    spec = record.spec.steps[key.step_index]
     if task.is_done:
-        return 0
+        return None
+    if result.crash is not CrashEvidence.NONE:
+        return _count_crash(task, result, spec)
+    if result.outcome is not AttemptOutcome.FAILED or spec.is_long_running:
+        return None
     task.failures += 1
-    if not record.spec.steps[key.step_index].is_gang:
-        return task.failures
-    step.gang_failures += 1
-    return step.gang_failures
+    failures = task.failures
+    if spec.is_gang:
+        step.gang_failures += 1
+        failures = step.gang_failures
+    if queue is not None and failures >= queue.max_attempts:
+        return FailureReason.ATTEMPTS
+    return None
+
+
+def _count_crash(
+    task: TaskRecord, result: AttemptResult, spec: StepSpec
+) -> FailureReason | None:
+    if spec.is_long_running and result.duration_s >= PROVEN_RUN_S:
+        task.crash_score = 0
+        return None
+    task.crash_score += result.crash
+    if task.crash_score >= MAX_CRASH_SCORE:
+        return FailureReason.CRASHES
+    return None
--- a/libs/workflows/src/cassiahold/workflows/commands.py
+++ b/libs/workflows/src/cassiahold/workflows/commands.py
@@ -4,12 +4,14 @@
 the stored log format.  Effects stay in the process.
 """
 
+import enum
 import typing
 
 import msgspec
 
 from cassiahold.core.ids import JobId, QueueName, TeamName, WorkerId
 from cassiahold.workflows.configuration import CellConfiguration
+from cassiahold.workflows.crashes import CrashEvidence
 from cassiahold.workflows.model import (
     AttemptKey,
     AttemptOutcome,
@@ -58,7 +60,8 @@
 class AttemptResult(msgspec.Struct, frozen=True, array_like=True):
     """How an attempt ended on one incarnation of a worker.
 
-    ``duration_s`` is 0 when the start or the end was not observed.
+    ``duration_s`` is 0 when the start or the end was not observed.  ``crash``
+    is set when the worker crashed while the attempt may have been running.
     """
 
     attempt: AttemptKey
@@ -66,6 +69,7 @@
     outcome: AttemptOutcome
     checkpoint: str = ''
     duration_s: float = 0.0
+    crash: CrashEvidence = CrashEvidence.NONE
 
 
 class EndAttempts(msgspec.Struct, frozen=True, tag='end'):
@@ -138,12 +142,20 @@
     step: StepKey
 
 
+class FailureReason(enum.Enum):
+    """Why a job failed: too many failed attempts or crashes of workers."""
+
+    ATTEMPTS = 'attempts'
+    CRASHES = 'crashes'
+
+
 class JobFinished(msgspec.Struct, frozen=True):
-    """A job reached a final state."""
+    """A job reached a final state; ``reason`` is set if it failed."""
 
     job: JobId
     state: JobState
     age_s: float
+    reason: FailureReason | None = None
 
 
 class WorkerChanged(msgspec.Struct, frozen=True):
--- a/libs/workflows/src/cassiahold/workflows/model.py
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -33,7 +33,7 @@
     ``GANG_TIMED_OUT`` that the attempt waited the gang timeout for the other
     members in vain.  ``LOST`` covers attempts that never started and those
     that ended with their worker.  Only ``FAILED`` counts against the limit
-    of attempts.
+    of attempts; crashes of workers are counted apart (``crash_score``).
     """
 
     DONE = 'done'
@@ -137,7 +137,8 @@
     """State of a task.
 
     ``last_attempt_number`` is the highest number used so far, ``checkpoint``
-    the newest one that an attempt left behind.
+    the newest one that an attempt left behind.  ``crash_score`` adds up the
+    evidence that the task crashes its workers.
     """
 
     is_done: bool = False
@@ -145,6 +146,7 @@
     failures: int = 0
     checkpoint: str = ''
     active_attempt: AttemptRecord | None = None
+    crash_score: int = 0
 
 
 class StepRecord(msgspec.Struct, array_like=True):
@@ -211,7 +213,10 @@
 
 
 class WorkerRecord(msgspec.Struct):
-    """A known worker and the attempts that may be running on it."""
+    """A known worker and the attempts that may be running on it.
+
+    ``suspect_attempts`` are those of tasks that may crash their worker.
+    """
 
     info: WorkerInfo
     allocated: Resources = NO_RESOURCES
@@ -219,6 +224,7 @@
         default_factory=dict
     )
     speed_estimate: SpeedEstimate = msgspec.field(default_factory=SpeedEstimate)
+    suspect_attempts: set[AttemptKey] = msgspec.field(default_factory=set)
 
     @property
     def free_resources(self) -> Resources:
--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -9,11 +9,13 @@
 own clock in milliseconds.
 """
 
+import math
 import typing
 
 import msgspec
 
 from cassiahold.workflows.commands import AttemptResult
+from cassiahold.workflows.crashes import CrashEvidence, weigh_crash
 from cassiahold.workflows.model import AttemptKey, AttemptOutcome, WorkerInfo
 
 MAX_CLOCK_DRIFT: typing.Final = 0.02  # a worker's clock runs at most 2% slow
@@ -70,6 +72,7 @@
 
 
 class _StartState(msgspec.Struct):
+    sent_at: float = -math.inf
     confirmed_at: float | None = None
     has_no_reply: bool = False
     stop_confirmed_at: float | None = None
@@ -99,7 +102,7 @@
         self._clock_read_at = now
         self._is_clock_known = False
         self._paused_until = now
-        self.is_failing = False
+        self._failing_since: float | None = None
         self._start_by_attempt: dict[AttemptKey, _StartState] = {}
 
     @property
@@ -107,6 +110,11 @@
         """Tell whether the worker has replied to a poll with this fence."""
         return self.last_reply_at is not None
 
+    @property
+    def is_failing(self) -> bool:
+        """Tell whether the worker was unreachable since its last reply."""
+        return self._failing_since is not None
+
     def is_usable(self, now: float) -> bool:
         """Tell whether new work may be sent to the worker."""
         return (
@@ -155,9 +163,9 @@
 
     # Starts and stops.
 
-    def record_start_sent(self, attempt: AttemptKey) -> None:
+    def record_start_sent(self, attempt: AttemptKey, now: float) -> None:
         """Record that a start is about to be sent."""
-        self._start_by_attempt[attempt] = _StartState()
+        self._start_by_attempt[attempt] = _StartState(now)
 
     def record_start_confirmed(self, attempt: AttemptKey, now: float) -> None:
         """Record that the worker confirmed a start."""
@@ -196,20 +204,32 @@
         """
         return self.last_stored_end if now < self._acknowledge_until else 0
 
-    def record_poll_failed(self) -> None:
+    def record_poll_failed(self, now: float) -> None:
         """Record that a poll got no reply: the worker may have restarted.
 
         The worker gets no new work until it replies to a poll.
         """
-        self.is_failing = True
+        self.record_unreachable(now)
         self._acknowledge_until = 0.0
 
-    def record_unreachable(self) -> None:
+    def record_unreachable(self, now: float) -> None:
         """Record that no connection to the worker could be established.
 
         The worker gets no new work until it replies to a poll.
         """
-        self.is_failing = True
+        if self._failing_since is None:
+            self._failing_since = now
+
+    def weigh_crash(
+        self, attempts: typing.Iterable[AttemptKey], now: float
+    ) -> dict[AttemptKey, CrashEvidence]:
+        """Return the evidence of this incarnation's crash by attempt."""
+        sent_at_by_attempt = {
+            attempt: start.sent_at
+            for attempt, start in self._start_by_attempt.items()
+        }
+        crashed_at = now if self._failing_since is None else self._failing_since
+        return weigh_crash(attempts, sent_at_by_attempt, crashed_at)
 
     def reconcile(
         self,
@@ -225,7 +245,7 @@
         """
         is_first_reply = not self.has_replied
         self.last_reply_at = now
-        self.is_failing = False
+        self._failing_since = None
         self._acknowledge_until = now + ACKNOWLEDGEMENT_WINDOW_S
         self.record_clock(reply.clock_ms, now)
         findings = PollFindings()
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -16,8 +16,8 @@
 from cassiahold.workflows import commands
 from cassiahold.workflows.allocations import AllocationLedger
 from cassiahold.workflows.attempt_results import (
+    count_against_task,
     mark_done,
-    mark_failed,
     store_checkpoint,
     update_speed,
 )
@@ -26,6 +26,7 @@
     CellConfiguration,
     ConfigurationIndex,
 )
+from cassiahold.workflows.crashes import is_suspect
 from cassiahold.workflows.model import (
     AttemptKey,
     AttemptOutcome,
@@ -356,7 +357,11 @@
                     TaskKey(key, index), task.active_attempt.attempt_number
                 )
                 self._allocations.allocate(
-                    record.team, attempt, task.active_attempt.worker, resources
+                    record.team,
+                    attempt,
+                    task.active_attempt.worker,
+                    resources,
+                    is_suspect=is_suspect(task.crash_score),
                 )
 
     def _change_unstarted_count(self, record: JobRecord, change: int) -> None:
@@ -416,7 +421,11 @@
         )
         resources = self.step_spec(key).resources
         self._allocations.allocate(
-            record.team, start.attempt, start.worker, resources
+            record.team,
+            start.attempt,
+            start.worker,
+            resources,
+            is_suspect=is_suspect(task.crash_score),
         )
         if record.state is JobState.QUEUED:
             record.state = JobState.ACTIVE
@@ -460,8 +469,7 @@
             return
         if spec.is_gang:
             self._stop_gang_members(record, result)
-        if result.outcome is AttemptOutcome.FAILED and not spec.is_long_running:
-            self._fail_task(record, result, ended_at)
+        self._fail_job_if_hopeless(record, result, ended_at)
 
     def _complete_task(
         self, record: JobRecord, result: commands.AttemptResult, ended_at: float
@@ -477,13 +485,13 @@
         else:
             self._finish_job(record, JobState.COMPLETE, ended_at)
 
-    def _fail_task(
+    def _fail_job_if_hopeless(
         self, record: JobRecord, result: commands.AttemptResult, ended_at: float
     ) -> None:
-        failures = mark_failed(record, result)
         queue = self.configuration_index.queue_by_name.get(record.queue)
-        if queue is not None and failures and failures >= queue.max_attempts:
-            self._finish_job(record, JobState.FAILED, ended_at)
+        reason = count_against_task(record, result, queue)
+        if reason is not None:
+            self._finish_job(record, JobState.FAILED, ended_at, reason)
 
     def _stop_gang_members(
         self, record: JobRecord, result: commands.AttemptResult
@@ -501,7 +509,11 @@
                 )
 
     def _finish_job(
-        self, record: JobRecord, state: JobState, finished_at: float
+        self,
+        record: JobRecord,
+        state: JobState,
+        finished_at: float,
+        reason: commands.FailureReason | None = None,
     ) -> None:
         if record.state is JobState.QUEUED:
             self._change_unstarted_count(record, -1)
@@ -509,7 +521,7 @@
         record.finished_at = finished_at
         self._effects.append(
             commands.JobFinished(
-                record.id, state, finished_at - record.accepted_at
+                record.id, state, finished_at - record.accepted_at, reason
             )
         )
         self._update_waiting_steps(record)
--- /dev/null
+++ b/libs/workflows/tests/test_crashes.py
@@ -0,0 +1,148 @@
+"""Tests of the evidence against tasks that may crash their workers."""
+
+import msgspec
+from state_fixtures import StateFixture, attempt_key, step_spec
+
+from cassiahold.core.ids import WorkerId
+from cassiahold.core.testing import function_tests
+from cassiahold.workflows import commands
+from cassiahold.workflows.crashes import (
+    MAX_CRASH_SCORE,
+    PROVEN_RUN_S,
+    CrashEvidence,
+    weigh_crash,
+)
+from cassiahold.workflows.model import (
+    AttemptKey,
+    AttemptOutcome,
+    JobState,
+    TaskRecord,
+)
+
+
+def crash(
+    cell: StateFixture,
+    attempt: AttemptKey,
+    evidence: CrashEvidence,
+    duration_s: float = 0.0,
+) -> commands.EndAttempts:
+    cell.start((attempt, 'w'))
+    command = commands.EndAttempts(
+        [
+            commands.AttemptResult(
+                attempt,
+                WorkerId('w'),
+                AttemptOutcome.LOST,
+                duration_s=duration_s,
+                crash=evidence,
+            )
+        ],
+        1.0,
+    )
+    cell.apply(command)
+    return command
+
+
+def test_recent_starts_weigh_more_than_earlier_ones() -> None:
+    recent, earlier, unknown = (
+        attempt_key('j', 0, index) for index in range(3)
+    )
+    evidence_by_attempt = weigh_crash(
+        (recent, earlier, unknown), {recent: 9.9, earlier: 5.0}, 10.0
+    )
+    assert evidence_by_attempt == {
+        recent: CrashEvidence.RECENT,
+        earlier: CrashEvidence.PRESENT,
+        unknown: CrashEvidence.PRESENT,
+    }
+
+
+def test_crash_that_is_told_twice_counts_once() -> None:
+    cell = StateFixture('w')
+    cell.submit('j', step_spec())
+    command = crash(cell, attempt_key('j', 0, 0), CrashEvidence.RECENT)
+    cell.apply(command)
+    assert cell.job('j').steps_by_occurrence[0][0].tasks[0].crash_score == 2
+
+
+def test_task_without_recent_starts_is_given_up_in_the_end() -> None:
+    cell = StateFixture('w')
+    cell.submit('j', step_spec())
+    for number in range(1, MAX_CRASH_SCORE + 1):
+        assert cell.job('j').is_open
+        crash(cell, attempt_key('j', 0, 0, number), CrashEvidence.PRESENT)
+    assert cell.job('j').state is JobState.FAILED
+    (finished,) = [
+        effect
+        for effect in cell.state.drain_effects()
+        if isinstance(effect, commands.JobFinished)
+    ]
+    assert finished.reason is commands.FailureReason.CRASHES
+
+
+def test_other_tasks_of_a_given_up_job_are_stopped() -> None:
+    cell = StateFixture('w', 'x')
+    cell.submit('j', step_spec(2))
+    cell.start((attempt_key('j', 0, 1), 'x'))
+    for number in range(1, 4):
+        crash(cell, attempt_key('j', 0, 0, number), CrashEvidence.RECENT)
+    stops = [
+        effect.attempt
+        for effect in cell.state.drain_effects()
+        if isinstance(effect, commands.AttemptStopRequired)
+    ]
+    assert stops == [attempt_key('j', 0, 1)]
+    assert not cell.state.waiting_steps()
+
+
+def test_gang_with_a_member_that_crashes_its_workers_is_given_up() -> None:
+    cell = StateFixture('w', 'x')
+    cell.submit('j', step_spec(2, is_gang=True))
+    for number in range(1, 4):
+        member = attempt_key('j', 0, 1, number)
+        cell.start((member, 'x'))
+        crash(cell, attempt_key('j', 0, 0, number), CrashEvidence.RECENT)
+        cell.end(member, 'x', AttemptOutcome.GANG_MEMBER_ENDED)
+    assert cell.job('j').state is JobState.FAILED
+
+
+def test_long_running_task_is_cleared_by_a_long_run() -> None:
+    cell = StateFixture('w')
+    cell.submit('j', step_spec(is_long_running=True))
+    durations_s = (0.1, 0.1, PROVEN_RUN_S, 0.1, 0.1)
+    for number, duration_s in enumerate(durations_s, start=1):
+        crash(
+            cell,
+            attempt_key('j', 0, 0, number),
+            CrashEvidence.RECENT,
+            duration_s,
+        )
+    assert cell.job('j').is_open
+    crash(cell, attempt_key('j', 0, 0, 6), CrashEvidence.RECENT, 0.1)
+    assert cell.job('j').state is JobState.FAILED
+
+
+def test_crash_score_survives_a_snapshot() -> None:
+    cell = StateFixture('w')
+    cell.submit('j', step_spec())
+    crash(cell, attempt_key('j', 0, 0), CrashEvidence.RECENT)
+    cell.state.restore(cell.state.snapshot())
+    cell.start((attempt_key('j', 0, 0, 2), 'w'))
+    worker = cell.state.worker_by_id[WorkerId('w')]
+    assert worker.suspect_attempts == {attempt_key('j', 0, 0, 2)}
+    cell.state.restore(cell.state.snapshot())
+    worker = cell.state.worker_by_id[WorkerId('w')]
+    assert worker.suspect_attempts == {attempt_key('j', 0, 0, 2)}
+
+
+def test_records_without_crashes_are_still_read() -> None:
+    # As they were stored before crashes were counted.
+    task = msgspec.msgpack.encode([False, 3, 1, '', None])
+    assert msgspec.msgpack.decode(task, type=TaskRecord).crash_score == 0
+    attempt = attempt_key('j', 0, 0)
+    result = msgspec.msgpack.encode([attempt, 'w', 'lost', '', 0.5])
+    decoded = msgspec.msgpack.decode(result, type=commands.AttemptResult)
+    assert decoded.crash is CrashEvidence.NONE
+
+
+load_tests = function_tests(globals())
--- a/libs/workflows/tests/test_sessions.py
+++ b/libs/workflows/tests/test_sessions.py
@@ -56,7 +56,7 @@
     assert session.end_to_acknowledge(3.0) == 0
     session.reconcile(make_reply(), (), 3.0, 3.1)
     assert session.end_to_acknowledge(3.2) == 7
-    session.record_poll_failed()
+    session.record_poll_failed(3.2)
     assert session.end_to_acknowledge(3.2) == 0
 
 
@@ -64,7 +64,7 @@
     session = make_session()
     session.reconcile(make_reply(), (), 0.0, 0.1)
     attempt = attempt_key('j', 0, 0)
-    session.record_start_sent(attempt)
+    session.record_start_sent(attempt, 0.2)
     assert not session.reconcile(make_reply(), (attempt,), 0.5, 0.6).results
     session.record_stop_confirmed(attempt, 1.0)
     assert not session.reconcile(make_reply(), (attempt,), 0.9, 1.1).results
@@ -78,7 +78,7 @@
     session = make_session()
     session.reconcile(make_reply(), (), 0.0, 0.1)
     attempt = attempt_key('j', 0, 0)
-    session.record_start_sent(attempt)
+    session.record_start_sent(attempt, 0.2)
     session.record_start_without_reply(attempt)
     session.record_stop_confirmed(attempt, 1.01)
     assert not session.reconcile(make_reply(), (attempt,), 1.0, 2.0).results
@@ -91,7 +91,7 @@
     session = make_session()
     session.reconcile(make_reply(), (), 0.0, 0.1)
     attempt = attempt_key('j', 0, 0)
-    session.record_start_sent(attempt)
+    session.record_start_sent(attempt, 0.2)
     session.record_stop_confirmed(attempt, 1.0)
     assert not session.reconcile(
         make_reply(attempt), (attempt,), 1.2, 1.3
@@ -102,7 +102,7 @@
     session = make_session()
     session.reconcile(make_reply(), (), 0.0, 0.1)
     attempt = attempt_key('j', 0, 0)
-    session.record_start_sent(attempt)
+    session.record_start_sent(attempt, 0.2)
     assert not session.reconcile(
         make_reply(), (attempt,), 0.5, 0.6
     ).missing_attempts
--- /dev/null
+++ b/programs/cell/src/cassiahold/cell/attempt_ends.py
@@ -0,0 +1,160 @@
+"""Results of attempts that end: checkpoints, durations, crashes of workers."""
+
+import time
+import typing
+
+from cassiahold.cell.attempt_stopper import AttemptStopper
+from cassiahold.core import logs
+from cassiahold.core.clock import boottime_s
+from cassiahold.core.metrics import Metrics
+from cassiahold.workflows import commands
+from cassiahold.workflows.crashes import CrashEvidence
+from cassiahold.workflows.health import HealthTracker
+from cassiahold.workflows.model import AttemptKey, AttemptOutcome
+from cassiahold.workflows.sessions import WorkerSession
+from cassiahold.workflows.state import WorkflowState
+from cassiahold.workflows.timelines import JobTimelines
+
+_MS: typing.Final = 1000
+
+
+class AttemptEnds:
+    """Completes the results of attempts and records them once stored.
+
+    Keeps the newest checkpoints and the evidence of crashes of workers.
+    """
+
+    def __init__(
+        self,
+        state: WorkflowState,
+        health: HealthTracker,
+        timelines: JobTimelines,
+        stopper: AttemptStopper,
+        metrics: Metrics,
+    ) -> None:
+        self._state = state
+        self._health = health
+        self._timelines = timelines
+        self._stopper = stopper
+        self._metrics = metrics
+        self._checkpoint_by_attempt: dict[AttemptKey, str] = {}
+        self._evidence_by_attempt: dict[AttemptKey, CrashEvidence] = {}
+
+    def record_checkpoint(self, attempt: AttemptKey, checkpoint: str) -> None:
+        """Keep the newest checkpoint of an attempt in progress."""
+        if checkpoint:
+            self._checkpoint_by_attempt[attempt] = checkpoint
+
+    def record_crash(self, session: WorkerSession, now: float) -> None:
+        """Weigh the crash of a worker's incarnation against its attempts."""
+        worker = self._state.worker_by_id.get(session.info.id)
+        if worker is None:
+            return
+        evidence_by_attempt = session.weigh_crash(
+            worker.resources_by_attempt, now
+        )
+        self._evidence_by_attempt.update(evidence_by_attempt)
+        self._metrics.incr('worker_crashed')
+        logs.info(
+            'worker_crashed',
+            worker=session.info.id,
+            born=session.info.incarnation,
+            attempts=len(evidence_by_attempt),
+            recent=sum(
+                evidence is CrashEvidence.RECENT
+                for evidence in evidence_by_attempt.values()
+            ),
+        )
+
+    def lost_with_worker(
+        self, session: WorkerSession
+    ) -> list[commands.AttemptResult]:
+        """Return the results of all attempts of a worker that is gone."""
+        worker = self._state.worker_by_id.get(session.info.id)
+        if worker is None:
+            return []
+        results = [
+            self.complete(
+                commands.AttemptResult(
+                    attempt, session.info.id, AttemptOutcome.LOST
+                )
+            )
+            for attempt in worker.resources_by_attempt
+        ]
+        self._health.forget_worker(session.info.id, worker.resources_by_attempt)
+        for result in results:
+            self._forget(result.attempt)
+            self._log_end(result)
+        return results
+
+    def complete(
+        self, result: commands.AttemptResult
+    ) -> commands.AttemptResult:
+        """Add the checkpoint, the duration and the evidence of a crash."""
+        attempt = result.attempt
+        return commands.AttemptResult(
+            attempt,
+            result.worker,
+            result.outcome,
+            result.checkpoint or self._checkpoint_by_attempt.get(attempt, ''),
+            self._health.attempt_duration_s(attempt, boottime_s()),
+            self._crash_evidence(result),
+        )
+
+    def record_stored(self, result: commands.AttemptResult) -> None:
+        """Record the end of an attempt after it has been stored."""
+        self._stopper.record_stopped(result.attempt)
+        self._forget(result.attempt)
+        self._health.record_outcome(
+            result.worker, result.attempt, result.outcome, boottime_s()
+        )
+        if result.outcome is AttemptOutcome.FAILED:
+            self._timelines.record_failure(result.attempt.task.step.job)
+        self._log_end(result)
+
+    def end_command(
+        self, results: list[commands.AttemptResult]
+    ) -> commands.EndAttempts:
+        """Return the command that stores some results."""
+        return commands.EndAttempts(results, time.time())
+
+    def _crash_evidence(self, result: commands.AttemptResult) -> CrashEvidence:
+        if result.outcome is not AttemptOutcome.LOST:
+            return CrashEvidence.NONE
+        evidence = self._evidence_by_attempt.get(result.attempt)
+        if evidence is not None:
+            return evidence
+        # The worker may have restarted under an earlier leader.
+        return (
+            CrashEvidence.PRESENT
+            if self._has_outlived_worker(result)
+            else CrashEvidence.NONE
+        )
+
+    def _has_outlived_worker(self, result: commands.AttemptResult) -> bool:
+        worker = self._state.worker_by_id.get(result.worker)
+        record = self._state.find_attempt(result.attempt.task)
+        if worker is None or record is None:
+            return False
+        return record.incarnation < worker.info.incarnation
+
+    def _forget(self, attempt: AttemptKey) -> None:
+        self._checkpoint_by_attempt.pop(attempt, None)
+        self._evidence_by_attempt.pop(attempt, None)
+
+    def _log_end(self, result: commands.AttemptResult) -> None:
+        self._metrics.incr(f'run_ended.{result.outcome.value}')
+        self._metrics.timing('run', result.duration_s * _MS)
+        worker = self._state.worker_by_id.get(result.worker)
+        logs.info(
+            'run_ended',
+            job=result.attempt.task.step.job,
+            step=result.attempt.task.step.step_index,
+            task=result.attempt.task.task_index,
+            attempt=result.attempt.attempt_number,
+            worker=result.worker,
+            how=result.outcome.value,
+            crash=result.crash.name.lower(),
+            took_s=result.duration_s,
+            speed=0.0 if worker is None else worker.speed_estimate.speed,
+        )
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -9,6 +9,7 @@
 from cassiahold.agreement.replica import Proposal
 from cassiahold.cell import local_requests as local
 from cassiahold.cell import requests
+from cassiahold.cell.attempt_ends import AttemptEnds
 from cassiahold.cell.attempt_stopper import AttemptStopper
 from cassiahold.cell.clients import (
     PollRequest,
@@ -63,13 +64,17 @@
         self._session_by_worker: dict[WorkerId, WorkerSession] = {}
         self._heartbeats = HeartbeatTracker()
         self._deregistered_at_by_worker: dict[WorkerId, float] = {}
-        self._checkpoint_by_attempt: dict[AttemptKey, str] = {}
+        # Workers whose address another process has taken without notice.
+        self._crashed_workers: set[WorkerId] = set()
         self._unsent_results: list[commands.AttemptResult] = []
         self.health = HealthTracker()
         self.timelines = JobTimelines()
         self._stopper = AttemptStopper(
             state, self.health, request_sender, self._session_by_worker
         )
+        self._attempt_ends = AttemptEnds(
+            state, self.health, self.timelines, self._stopper, metrics
+        )
 
     def open_sessions(self, now: float) -> None:
         """Open a session with every registered worker."""
@@ -123,7 +128,14 @@
                 has_left=is_deregistered,
                 silent_s=now - (session.last_reply_at or now),
             )
-            removals.append(self._lost_attempts_command(worker_id))
+            if worker_id in self._crashed_workers:
+                self._crashed_workers.remove(worker_id)
+                self._attempt_ends.record_crash(session, now)
+            removals.append(
+                self._attempt_ends.end_command(
+                    self._attempt_ends.lost_with_worker(session)
+                )
+            )
             removals.append(
                 commands.RemoveWorker(
                     worker_id, session.info.incarnation, time.time()
@@ -131,23 +143,6 @@
             )
         return removals
 
-    def _lost_attempts_command(
-        self, worker_id: WorkerId
-    ) -> commands.EndAttempts:
-        record = self._state.worker_by_id.get(worker_id)
-        attempts = () if record is None else tuple(record.resources_by_attempt)
-        self.health.forget_worker(worker_id, attempts)
-        results = [
-            commands.AttemptResult(
-                attempt,
-                worker_id,
-                AttemptOutcome.LOST,
-                self._checkpoint_by_attempt.pop(attempt, ''),
-            )
-            for attempt in attempts
-        ]
-        return commands.EndAttempts(results, time.time())
-
     def handle_effect(self, effect: commands.Effect, now: float) -> None:
         """Act on the effect of an applied command."""
         if isinstance(effect, commands.AttemptScheduled):
@@ -172,6 +167,7 @@
             queue=self._state.job_by_id[effect.job].queue,
             state=state,
             age_s=effect.age_s,
+            reason='' if effect.reason is None else effect.reason.value,
             failed_runs=timeline.failed_attempts,
             **durations_s,
         )
@@ -253,7 +249,7 @@
             self._mark_replaced(request.worker, now)
             return local.SessionClosed()
         if request.reply is None:
-            session.record_poll_failed()
+            session.record_poll_failed(now)
             return self._next_poll(session, now, max_wait_s=0.0)
         if request.reply.incarnation not in {0, session.info.incarnation}:
             return self._update_incarnation(session, request.reply.incarnation)
@@ -261,6 +257,13 @@
 
     def _mark_replaced(self, worker: WorkerId, now: float) -> None:
         """Remove a worker soon: another process has its address."""
+        session = self._session_by_worker.get(worker)
+        if (
+            session is not None
+            and not session.info.is_draining
+            and worker not in self._deregistered_at_by_worker
+        ):
+            self._crashed_workers.add(worker)
         self._deregistered_at_by_worker.setdefault(
             worker, now - DEREGISTRATION_DELAY_S
         )
@@ -283,10 +286,9 @@
             return self._next_poll(session, now, max_wait_s=0.0)
         had_replied = session.has_replied
         for running_attempt in reply.running:
-            if running_attempt.checkpoint:
-                self._checkpoint_by_attempt[running_attempt.attempt] = (
-                    running_attempt.checkpoint
-                )
+            self._attempt_ends.record_checkpoint(
+                running_attempt.attempt, running_attempt.checkpoint
+            )
             self.health.record_progress(
                 session.info.id,
                 running_attempt.attempt,
@@ -314,31 +316,16 @@
         if not findings.results:
             session.last_stored_end = findings.newest_end_number
             return self._next_poll(session, now)
-        results = [self._complete_result(result) for result in findings.results]
+        results = [
+            self._attempt_ends.complete(result) for result in findings.results
+        ]
         return Proposal(
-            commands.encode_command(commands.EndAttempts(results, time.time())),
+            commands.encode_command(self._attempt_ends.end_command(results)),
             lambda _: self._handle_stored_results(
                 session, results, findings.newest_end_number
             ),
         )
 
-    def _complete_result(
-        self, result: commands.AttemptResult
-    ) -> commands.AttemptResult:
-        checkpoint = result.checkpoint or self._checkpoint_by_attempt.get(
-            result.attempt, ''
-        )
-        duration_s = self.health.attempt_duration_s(
-            result.attempt, boottime_s()
-        )
-        return commands.AttemptResult(
-            result.attempt,
-            result.worker,
-            result.outcome,
-            checkpoint,
-            duration_s,
-        )
-
     def _handle_stored_results(
         self,
         session: WorkerSession,
@@ -346,34 +333,10 @@
         newest_end_number: int,
     ) -> PollRequest:
         for result in results:
-            self._stopper.record_stopped(result.attempt)
-            self._checkpoint_by_attempt.pop(result.attempt, None)
-            self.health.record_outcome(
-                result.worker, result.attempt, result.outcome, boottime_s()
-            )
-            self._record_attempt_end(result)
+            self._attempt_ends.record_stored(result)
         session.last_stored_end = newest_end_number
         return self._next_poll(session, boottime_s())
 
-    def _record_attempt_end(self, result: commands.AttemptResult) -> None:
-        key = result.attempt.task.step
-        if result.outcome is AttemptOutcome.FAILED:
-            self.timelines.record_failure(key.job)
-        self._metrics.incr(f'run_ended.{result.outcome.value}')
-        self._metrics.timing('run', result.duration_s * _MS)
-        worker = self._state.worker_by_id.get(result.worker)
-        logs.info(
-            'run_ended',
-            job=key.job,
-            step=key.step_index,
-            task=result.attempt.task.task_index,
-            attempt=result.attempt.attempt_number,
-            worker=result.worker,
-            how=result.outcome.value,
-            took_s=result.duration_s,
-            speed=0.0 if worker is None else worker.speed_estimate.speed,
-        )
-
     def _next_poll(
         self,
         session: WorkerSession,
@@ -416,7 +379,7 @@
             ).expected_s,
         )
         if reply is None:
-            return self._handle_start_without_reply(session, request)
+            return self._handle_start_without_reply(session, request, now)
         self._metrics.incr(f'start.{reply.status.value}')
         session.record_clock(reply.clock_ms, now)
         if reply.status is ReplyStatus.DONE:
@@ -427,7 +390,7 @@
         return self._handle_refused_start(session, request.attempt, reply, now)
 
     def _handle_start_without_reply(
-        self, session: WorkerSession, request: local.StartDone
+        self, session: WorkerSession, request: local.StartDone, now: float
     ) -> requests.Acknowledged | Proposal:
         attempt = request.attempt
         if request.delivery is local.Delivery.POSSIBLE:
@@ -436,7 +399,7 @@
             self._stopper.stop_gang(attempt)
             return requests.Acknowledged()
         if request.delivery is local.Delivery.UNREACHABLE:
-            session.record_unreachable()
+            session.record_unreachable(now)
         return self._end_as_lost(session, attempt)
 
     def stop_done(
@@ -512,7 +475,7 @@
         record = self._state.job_by_id[step.job]
         tasks = record.step(step).tasks
         ticket = self._advisor_replies.valid_ticket(step, session.info, now)
-        session.record_start_sent(start.attempt)
+        session.record_start_sent(start.attempt, now)
         self.timelines.record_placement(step.job, now)
         self._request_sender.send_start(
             StartRequest(
@@ -562,6 +525,13 @@
             session.info = record.info
 
     def _open_session(self, info: WorkerInfo, now: float) -> None:
+        previous_session = self._session_by_worker.get(info.id)
+        if (
+            previous_session is not None
+            and not previous_session.info.is_draining
+            and info.id not in self._deregistered_at_by_worker
+        ):
+            self._attempt_ends.record_crash(previous_session, now)
         self._fence_count += 1
         fence = self._term * MAX_FENCES_PER_TERM + self._fence_count
         session = WorkerSession(
@@ -569,6 +539,7 @@
         )
         self._session_by_worker[info.id] = session
         self._deregistered_at_by_worker.pop(info.id, None)
+        self._crashed_workers.discard(info.id)
         self._request_sender.start_polling(info, fence)
 
 
--- /dev/null
+++ b/programs/cell/tests/test_worker_crashes.py
@@ -0,0 +1,138 @@
+"""Tests of tasks that crash the workers on which they start, without I/O."""
+
+from leader_fixtures import LeaderFixture, make_leader, submit
+
+from cassiahold.cell import local_requests as local
+from cassiahold.cell import requests
+from cassiahold.cell.clients import ReplyStatus, StartRequest, WorkerReply
+from cassiahold.core.clock import boottime_s
+from cassiahold.core.ids import WorkerId
+from cassiahold.core.testing import function_tests
+from cassiahold.workflows.model import JobState
+from cassiahold.workflows.sessions import RunningAttempt
+
+MAX_STARTS = 5
+
+
+def confirm(leader: LeaderFixture, start: StartRequest) -> None:
+    leader.handle(
+        local.StartDone(
+            start.worker.id,
+            start.fence,
+            start.attempt,
+            WorkerReply(ReplyStatus.DONE, 1000),
+        )
+    )
+
+
+def fail_poll(leader: LeaderFixture, worker: WorkerId) -> None:
+    fence = leader.sender.fence_by_worker[worker]
+    leader.handle(local.PollDone(worker, fence, None, boottime_s()))
+
+
+def crash_and_restart(leader: LeaderFixture, incarnation: int) -> None:
+    """Crash worker ``w``; it returns under its id and runs nothing."""
+    fail_poll(leader, WorkerId('w'))
+    leader.send_heartbeat('w', incarnation=incarnation)
+    leader.reply_to_poll('w', incarnation=incarnation)
+    # Late enough for the next pass, while the worker is not yet silent.
+    leader.apply_due_commands(boottime_s() + 0.1 * incarnation)
+
+
+def crash_until_given_up(leader: LeaderFixture) -> int:
+    """Crash ``w`` after each start; return how many starts were sent."""
+    incarnation = 1
+    count = 0
+    while len(leader.sender.starts) > count:
+        count = len(leader.sender.starts)
+        confirm(leader, leader.sender.starts[-1])
+        incarnation += 1
+        crash_and_restart(leader, incarnation)
+        assert count <= MAX_STARTS
+    return count
+
+
+def test_task_that_crashes_its_workers_is_given_up() -> None:
+    # Such a task was started for as long as its job was open and took down
+    # one worker after the other.
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    assert crash_until_given_up(leader) == 3
+    assert leader.job_state('/q/1') is JobState.FAILED
+
+
+def test_crashes_are_counted_across_leaders() -> None:
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    confirm(leader, leader.sender.starts[-1])
+    crash_and_restart(leader, 2)
+    leader.service.restore(leader.service.snapshot())
+    leader.start_next_term()
+    # The next leader has seen neither the start nor the crash.
+    leader.send_heartbeat('w', incarnation=3)
+    leader.reply_to_poll('w', incarnation=3)
+    leader.apply_due_commands(boottime_s() + 1)
+    confirm(leader, leader.sender.starts[-1])
+    crash_and_restart(leader, 4)
+    assert leader.job_state('/q/1') is JobState.FAILED
+    assert len(leader.sender.starts) == 3
+
+
+def test_crash_is_seen_when_another_process_has_the_address() -> None:
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    confirm(leader, start)
+    fail_poll(leader, WorkerId('w'))
+    leader.handle(
+        local.PollDone(
+            start.worker.id,
+            start.fence,
+            None,
+            boottime_s(),
+            is_other_incarnation=True,
+        )
+    )
+    leader.apply_due_commands(boottime_s() + 1)
+    (task,) = (
+        leader.service.state.job_by_id[start.attempt.task.step.job]
+        .steps_by_occurrence[0][0]
+        .tasks
+    )
+    assert task.crash_score == 2
+
+
+def test_silence_and_departure_are_no_crashes() -> None:
+    # A worker that was cut off, or that left, says nothing about its tasks.
+    leader = make_leader('v', 'w')
+    submit(leader, '/q/1')
+    submit(leader, '/q/2')
+    for start in leader.sender.starts:
+        confirm(leader, start)
+    leader.handle(requests.WorkerLeft(WorkerId('v'), 1))
+    leader.apply_due_commands(boottime_s() + 8)
+    assert not leader.service.state.worker_by_id
+    scores = [
+        task.crash_score
+        for record in leader.service.state.job_by_id.values()
+        for task in record.steps_by_occurrence[0][0].tasks
+    ]
+    assert scores == [0, 0]
+
+
+def test_sound_task_survives_two_crashes_of_others() -> None:
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    confirm(leader, start)
+    for incarnation in (2, 3):
+        crash_and_restart(leader, incarnation)
+        confirm(leader, leader.sender.starts[-1])
+    assert leader.job_state('/q/1') is JobState.ACTIVE
+    assert len(leader.sender.starts) == 3
+    running = RunningAttempt(leader.sender.starts[-1].attempt, '', 10)
+    leader.reply_to_poll('w', running=(running,), incarnation=3)
+    assert not leader.sender.stops
+
+
+load_tests = function_tests(globals())
