Keep a start unknown when only its retry was refused

A task could run twice, or again after it had ended.

Cause: a refusal of a retry freed the task at once, although an earlier try had got no reply: that one may have been carried out already, or be carried out seconds later. A reply to a retry is now taken for the start only if it also holds for earlier tries: done, another incarnation or a higher fence. After others the start is stopped and ends when a poll shows it.

The tests failed before: after a refusal for room, by an unhealthy worker, for a ticket or as obsolete the leader started the next attempt at once.

--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -16,6 +16,7 @@
 from cassiahold.cell.clients import (
     AdvisorClient,
     PollRequest,
+    ReplyStatus,
     StartRequest,
     StopRequest,
     WorkerClient,
@@ -37,6 +38,10 @@
 STOP_THREADS: typing.Final = 16
 MAX_STOP_TRIES: typing.Final = 8
 FAILED_POLL_PAUSE_S: typing.Final = 0.1
+# The worker carries out no earlier try after such a reply.
+CONCLUSIVE_STATUSES: typing.Final = frozenset(
+    (ReplyStatus.DONE, ReplyStatus.REPLACED, ReplyStatus.SUPERSEDED)
+)
 
 
 class ThreadedRequestSender:
@@ -238,15 +243,33 @@
         if not should_try():
             break
         try:
-            return _CallOutcome(call(), local.Delivery.POSSIBLE)
+            reply = call()
         except CassiaholdError as exc:
             logs.info('order_unanswered', reason=exc.detail)
             if exc.kind is not ErrorKind.UNREACHABLE:
                 outcome.delivery = local.Delivery.POSSIBLE
             elif outcome.delivery is local.Delivery.NOT_SENT:
                 outcome.delivery = local.Delivery.UNREACHABLE
+            continue
+        if _is_conclusive(reply, outcome.delivery):
+            return _CallOutcome(reply, local.Delivery.POSSIBLE)
+        logs.info('order_inconclusive', answer=reply.status.value)
+        break
     return outcome
 
 
+def _is_conclusive(
+    reply: WorkerReply, earlier_delivery: local.Delivery
+) -> bool:
+    """Tell whether a reply also holds for the earlier tries of a request.
+
+    After a try that may have arrived, a refusal says nothing about that one:
+    it may have been carried out before or may still be on its way.
+    """
+    if earlier_delivery is not local.Delivery.POSSIBLE:
+        return True
+    return reply.status in CONCLUSIVE_STATUSES
+
+
 def _not_attached(request: typing.Any) -> typing.Any:
     raise CassiaholdError(ErrorKind.NO_QUORUM, 'the replica has not started')
--- a/programs/cell/tests/test_request_sender.py
+++ b/programs/cell/tests/test_request_sender.py
@@ -6,6 +6,8 @@
 import threading
 import typing
 
+from leader_fixtures import make_leader, submit
+
 from cassiahold.cell import local_requests as local
 from cassiahold.cell.clients import (
     ReplyStatus,
@@ -14,6 +16,7 @@
     WorkerReply,
 )
 from cassiahold.cell.request_sender import ThreadedRequestSender
+from cassiahold.core.clock import boottime_s
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import DataCentre, JobId, WorkerId
 from cassiahold.core.resources import Resources
@@ -145,4 +148,46 @@
     assert reports.start_by_job['late'].reply is None
 
 
+class RefusingWorkerClient:
+    """A client whose first start gets no reply and whose second is refused."""
+
+    def __init__(self, refusal: ReplyStatus) -> None:
+        self._refusal = refusal
+        self._start_count = 0
+
+    def start(self, request: StartRequest, timeout_s: float) -> WorkerReply:
+        self._start_count += 1
+        if self._start_count == 1:
+            raise CassiaholdError(ErrorKind.OUTCOME_UNKNOWN, 'no reply')
+        return WorkerReply(self._refusal, 1000)
+
+
+def start_again_after_refusal(refusal: ReplyStatus) -> list[int]:
+    """Return the numbers of the attempts that the leader starts."""
+    leader = make_leader('v', 'w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    reports: queue.SimpleQueue[local.StartDone] = queue.SimpleQueue()
+    with contextlib.ExitStack() as stack:
+        sender = ThreadedRequestSender(RefusingWorkerClient(refusal), None, 1)
+        stack.callback(sender.close)
+        sender.attach(reports.put, _UnusedLeaderClient())
+        sender.send_start(start)
+        leader.handle(reports.get(timeout=TIMEOUT_S))
+    leader.apply_due_commands(boottime_s() + 1)
+    return [each.attempt.attempt_number for each in leader.sender.starts]
+
+
+def test_refused_retry_does_not_free_a_start_that_may_be_on_its_way() -> None:
+    # The first try may be carried out seconds later, after the refusal.
+    assert start_again_after_refusal(ReplyStatus.NO_CAPACITY) == [1]
+    assert start_again_after_refusal(ReplyStatus.UNHEALTHY) == [1]
+    assert start_again_after_refusal(ReplyStatus.NO_TICKET) == [1]
+
+
+def test_obsolete_retry_does_not_hide_that_the_first_try_has_run() -> None:
+    # The first try was carried out and has ended; a poll will list its end.
+    assert start_again_after_refusal(ReplyStatus.OBSOLETE) == [1]
+
+
 load_tests = function_tests(globals())
