Repeat a report that the leader refuses for a moment

Cause: the threads that send requests report outcomes to the local replica. A leader whose lease has lapsed for a moment (frozen, a slow disk) refuses, though it leads on in the same term; the report was dropped. A lost report of a start, a stop or an advisor query held its attempt or step for as long as that leader led; a lost report of a poll ended the polling of a sound worker.

The replica now tells a lapsed lease from a follower, and the threads repeat their report until it is accepted or another replica leads. A poll is repeated as one without a reply, since its worker may have restarted meanwhile. Advice counts from when it was received. Other errors are repeated three times.

--- a/libs/agreement/src/cassiahold/agreement/replica.py
+++ b/libs/agreement/src/cassiahold/agreement/replica.py
@@ -166,6 +166,13 @@
         self.leader = leader
 
 
+class LeaseLapsedError(NotLeaderError):
+    """A leader whose lease has lapsed got a request.
+
+    It leads again, in the same term, once a majority has renewed the lease.
+    """
+
+
 class _PendingReply(msgspec.Struct, frozen=True):
     term: int
     future: ReplyFuture
@@ -257,7 +264,8 @@
         """Reply to a request, or queue its proposal."""
         now = boottime_s()
         if not self._may_serve(now):
-            call.future.set_exception(NotLeaderError(self._node.leader))
+            error = LeaseLapsedError if self._is_leading else NotLeaderError
+            call.future.set_exception(error(self._node.leader))
             return
         try:
             reply = self._service.handle_request(call.request, now)
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -5,10 +5,17 @@
 import pathlib
 import tempfile
 import typing
+from unittest import mock
 
 from cassiahold.agreement.messages import Envelope, Membership
-from cassiahold.agreement.node import RaftTiming
-from cassiahold.agreement.replica import Call, Replica, ReplicaSetup, Tick
+from cassiahold.agreement.node import RaftNode, RaftTiming
+from cassiahold.agreement.replica import (
+    Call,
+    LeaseLapsedError,
+    Replica,
+    ReplicaSetup,
+    Tick,
+)
 from cassiahold.agreement.storage import ReplicaStorage
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import GroupName, ReplicaId
@@ -98,4 +105,14 @@
         assert ask(replica, 'second') == 'second'
 
 
+def test_leader_without_a_lease_is_told_from_a_follower() -> None:
+    future: concurrent.futures.Future[typing.Any] = concurrent.futures.Future()
+    with single_replica() as replica:
+        ask(replica, 'first')
+        with mock.patch.object(RaftNode, 'has_valid_lease', return_value=False):
+            replica.tell(Call('second', future))
+            error = future.exception(REPLY_TIMEOUT_S)
+    assert isinstance(error, LeaseLapsedError)
+
+
 load_tests = function_tests(globals())
--- a/programs/cell/src/cassiahold/cell/advisor_dispatch.py
+++ b/programs/cell/src/cassiahold/cell/advisor_dispatch.py
@@ -111,7 +111,7 @@
                 continue
             query = entry[-1]
             reply = self._call_advisor(address, query, entry[1])
-            self._report(local.AdvisorQueryDone(query, reply))
+            self._report(local.AdvisorQueryDone(query, reply, boottime_s()))
         with self._lock:
             self._offered_at_by_address.pop(address, None)
 
--- a/programs/cell/src/cassiahold/cell/local_requests.py
+++ b/programs/cell/src/cassiahold/cell/local_requests.py
@@ -68,10 +68,14 @@
 
 
 class AdvisorQueryDone(msgspec.Struct, frozen=True):
-    """Reports an advisor's reply to a query; None without a reply."""
+    """Reports an advisor's reply to a query; None without a reply.
+
+    ``received_at`` is on the steady clock.
+    """
 
     query: AdvisorQuery
     reply: AdvisorReply | None
+    received_at: float
 
 
 class SessionClosed(msgspec.Struct, frozen=True):
--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -1,13 +1,14 @@
 """Threads that send the leader's requests to workers and advisors."""
 
 import concurrent.futures
+import functools
 import threading
 import typing
 
 import msgspec
 import pykka
 
-from cassiahold.agreement.replica import NotLeaderError
+from cassiahold.agreement.replica import LeaseLapsedError, NotLeaderError
 from cassiahold.cell import local_requests as local
 from cassiahold.cell.advisor_dispatch import (
     AdvisorQueryDispatcher,
@@ -38,6 +39,8 @@
 STOP_THREADS: typing.Final = 16
 MAX_STOP_TRIES: typing.Final = 8
 FAILED_POLL_PAUSE_S: typing.Final = 0.1
+REPORT_PAUSE_S: typing.Final = 0.1  # before a report is repeated
+MAX_REPORT_ERRORS: typing.Final = 3
 # The worker carries out no earlier try after such a reply.
 CONCLUSIVE_STATUSES: typing.Final = frozenset(
     (ReplyStatus.DONE, ReplyStatus.REPLACED, ReplyStatus.SUPERSEDED)
@@ -176,19 +179,44 @@
         )
 
     def _report(self, request: typing.Any) -> typing.Any:
-        try:
-            return self._handle_report(request)
-        except (NotLeaderError, pykka.ActorDeadError):
-            # Another leader is responsible for this worker.
-            return local.SessionClosed()
-        except CassiaholdError as exc:
-            logs.warning(
-                'report_failed',
-                request=type(request).__name__,
-                kind=exc.kind.value,
-                reason=exc.detail,
-            )
-            return local.SessionClosed()
+        """Report to the local replica; repeat it while that may succeed.
+
+        A report that is lost would leave its attempt, query or session waiting
+        for as long as this replica leads.  Returns ``SessionClosed`` once
+        another replica leads.
+        """
+        error_count = 0
+        while error_count < MAX_REPORT_ERRORS:
+            try:
+                return self._handle_report(request)
+            except LeaseLapsedError:
+                logs.info('report_deferred', request=type(request).__name__)
+            except (NotLeaderError, pykka.ActorDeadError):
+                # Another leader is responsible for this worker.
+                return local.SessionClosed()
+            except CassiaholdError as exc:
+                error_count += 1
+                logs.warning(
+                    'report_failed',
+                    request=type(request).__name__,
+                    kind=exc.kind.value,
+                    reason=exc.detail,
+                )
+            threading.Event().wait(REPORT_PAUSE_S)
+            request = _outdated_report(request)
+        return local.SessionClosed()
+
+
+@functools.singledispatch
+def _outdated_report(report: typing.Any) -> typing.Any:
+    """Return the report to repeat after a pause."""
+    return report
+
+
+@_outdated_report.register
+def _(report: local.PollDone) -> local.PollDone:
+    # The worker may have restarted since it replied.
+    return msgspec.structs.replace(report, reply=None)
 
 
 class _PendingStarts:
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -426,7 +426,7 @@
             query.queue.name,
             query.workers,
             request.reply,
-            now,
+            request.received_at,
         )
 
     def _handle_refused_start(
--- a/programs/cell/tests/test_request_sender.py
+++ b/programs/cell/tests/test_request_sender.py
@@ -4,29 +4,47 @@
 import itertools
 import queue
 import threading
+import time
 import typing
 
 from leader_fixtures import make_leader, submit
 
+from cassiahold.agreement.replica import LeaseLapsedError, NotLeaderError
 from cassiahold.cell import local_requests as local
 from cassiahold.cell.clients import (
+    PollRequest,
     ReplyStatus,
     StartRequest,
     StopRequest,
     WorkerReply,
 )
-from cassiahold.cell.request_sender import ThreadedRequestSender
+from cassiahold.cell.request_sender import (
+    REPORT_PAUSE_S,
+    ThreadedRequestSender,
+)
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
-from cassiahold.core.ids import DataCentre, JobId, WorkerId
+from cassiahold.core.ids import (
+    DataCentre,
+    JobId,
+    QueueName,
+    ServiceName,
+    WorkerId,
+)
 from cassiahold.core.resources import Resources
 from cassiahold.core.testing import function_tests
+from cassiahold.workflows.advisor_replies import AdvisorReply
+from cassiahold.workflows.configuration import QueuePolicy
 from cassiahold.workflows.model import AttemptKey, StepKey, TaskKey, WorkerInfo
+from cassiahold.workflows.planning import AdvisorQuery
+from cassiahold.workflows.sessions import PollReply
 
 WORKER = WorkerInfo(
     WorkerId('w'), 1, 'w:80', 's', DataCentre('east'), Resources(1000)
 )
 TIMEOUT_S = 5.0
+# Within the time after which a worker without polls counts as silent.
+REPEATED_REPORT_S = 1.5
 
 
 def attempt_of(job: str) -> AttemptKey:
@@ -190,4 +208,106 @@
     assert start_again_after_refusal(ReplyStatus.OBSOLETE) == [1]
 
 
+class LapsedLeader:
+    """Refuses the first report of each type, then accepts all others.
+
+    So does a leader whose lease lapses and is renewed in the same term: it
+    keeps its sessions and does not open them again.
+    """
+
+    def __init__(self) -> None:
+        self._refused_types: set[type] = set()
+        self.accepted: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
+
+    def handle(self, request: typing.Any) -> typing.Any:
+        if isinstance(request, local.GetFirstPoll):
+            return PollRequest(WORKER, request.fence, 0, None, 0.0)
+        if type(request) not in self._refused_types:
+            self._refused_types.add(type(request))
+            raise LeaseLapsedError(None)
+        self.accepted.put(request)
+        return local.SessionClosed()
+
+
+class ReplyingClient:
+    """A client of workers and of the advisor; every request gets a reply."""
+
+    def start(self, request: StartRequest, timeout_s: float) -> WorkerReply:
+        return WorkerReply(ReplyStatus.NO_CAPACITY)
+
+    def stop(self, request: StopRequest, timeout_s: float) -> WorkerReply:
+        return WorkerReply(ReplyStatus.DONE)
+
+    def poll(self, request: PollRequest, timeout_s: float) -> PollReply:
+        return PollReply(1, 1000, (), ())
+
+    def advise(
+        self, step: StepKey, workers: typing.Any, timeout_s: float
+    ) -> AdvisorReply:
+        return AdvisorReply({}, 1.0)
+
+
+def report_to_lapsed_leader(
+    send: typing.Callable[[ThreadedRequestSender], None],
+) -> typing.Any:
+    """Return the report that the leader gets once its lease is renewed."""
+    leader = LapsedLeader()
+    client = ReplyingClient()
+    with contextlib.ExitStack() as stack:
+        sender = ThreadedRequestSender(client, client, 1)
+        stack.callback(sender.close)
+        sender.attach(leader.handle, _UnusedLeaderClient())
+        send(sender)
+        try:
+            return leader.accepted.get(timeout=REPEATED_REPORT_S)
+        except queue.Empty:
+            return None
+
+
+def test_polls_go_on_after_the_lease_has_lapsed_for_a_moment() -> None:
+    report = report_to_lapsed_leader(
+        lambda sender: sender.start_polling(WORKER, 1)
+    )
+    assert isinstance(report, local.PollDone)
+
+
+def test_refused_report_of_a_start_reaches_the_leader_later() -> None:
+    start = StartRequest(WORKER, attempt_of('first'), '', 1, 1)
+    report = report_to_lapsed_leader(lambda sender: sender.send_start(start))
+    assert isinstance(report, local.StartDone)
+
+
+def test_refused_report_of_a_stop_reaches_the_leader_later() -> None:
+    stop = StopRequest(WORKER, attempt_of('first'), 1)
+    report = report_to_lapsed_leader(lambda sender: sender.send_stop(stop))
+    assert isinstance(report, local.StopDone)
+
+
+def test_refused_report_of_an_advisor_query_reaches_the_leader_later() -> None:
+    query = AdvisorQuery(
+        StepKey(JobId('first'), 0, 0),
+        QueuePolicy(QueueName('q'), 'h', '/q/', ServiceName('s')),
+        (WORKER,),
+    )
+    report = report_to_lapsed_leader(lambda sender: sender.query_advisor(query))
+    assert isinstance(report, local.AdvisorQueryDone)
+
+
+def test_polls_end_when_another_replica_leads() -> None:
+    reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
+
+    def refuse(request: typing.Any) -> typing.Any:
+        reports.put(request)
+        raise NotLeaderError(None)
+
+    with contextlib.ExitStack() as stack:
+        sender = ThreadedRequestSender(ReplyingClient(), None, 1)
+        stack.callback(sender.close)
+        sender.attach(refuse, _UnusedLeaderClient())
+        sender.start_polling(WORKER, 1)
+        assert isinstance(reports.get(timeout=TIMEOUT_S), local.GetFirstPoll)
+        time.sleep(REPORT_PAUSE_S * 3)
+        assert reports.empty()
+
+
 load_tests = function_tests(globals())
