Take only a carried out stop for a confirmed one

A task could run twice: an unhealthy worker that refused the stop of an unanswered start was taken to have confirmed it, the next poll ended the attempt, and the delayed start could still be carried out.

Cause: any reply to a stop counted as its confirmation. Now only done and obsolete do; after other replies the next poll sends the stop again.

The test failed before: the leader started the task again.

--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -33,6 +33,10 @@
 from cassiahold.workflows.timelines import JobTimelines
 
 MAX_FENCES_PER_TERM: typing.Final = 1_000_000
+# The worker starts neither the attempt nor an earlier one after such a reply.
+STOPPED_STATUSES: typing.Final = frozenset(
+    (ReplyStatus.DONE, ReplyStatus.OBSOLETE)
+)
 _MS: typing.Final = 1000
 # A deregistered worker process has certainly ended after this time.
 DEREGISTRATION_DELAY_S: typing.Final = 0.5
@@ -405,10 +409,15 @@
     def stop_done(
         self, request: local.StopDone, now: float
     ) -> requests.Acknowledged:
-        """Handle a worker's reply to a stop; a poll then reports the end."""
+        """Handle a worker's reply to a stop; a poll then reports the end.
+
+        After a refusal the next poll has the stop sent again.
+        """
         self._stopper.record_stopped(request.attempt)
         session = self._find_session(request.worker, request.fence)
-        if session is not None and request.reply is not None:
+        if session is None or request.reply is None:
+            return requests.Acknowledged()
+        if request.reply.status in STOPPED_STATUSES:
             session.record_stop_confirmed(request.attempt, now)
         return requests.Acknowledged()
 
--- a/programs/cell/tests/test_worker_sessions.py
+++ b/programs/cell/tests/test_worker_sessions.py
@@ -152,6 +152,24 @@
     ]
 
 
+def test_refused_stop_does_not_end_a_start_that_may_be_on_its_way() -> None:
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    leader.handle(
+        local.StartDone(WorkerId('w'), start.fence, start.attempt, None)
+    )
+    # An unhealthy worker has done nothing: it would still start the attempt.
+    unhealthy = WorkerReply(ReplyStatus.UNHEALTHY)
+    leader.handle(
+        local.StopDone(WorkerId('w'), start.fence, start.attempt, unhealthy)
+    )
+    leader.reply_to_poll('w')
+    leader.apply_due_commands(boottime_s() + 1)
+    assert len(leader.sender.starts) == 1
+    assert len(leader.sender.stops) == 2
+
+
 def test_failed_poll_keeps_starts_off_a_worker_until_it_replies() -> None:
     # A crashed worker refuses connections for seconds and looks idle.
     leader = make_leader('w')
