Prefer other workers for a retry instead of waiting for them

A task that failed on the only worker that may run it, or a job whose other workers were all full, stood for 3.0 s beside free capacity. A job that has nothing running for 3 s while there is capacity counts as lost.

Cause: a failure kept the whole job off the worker for 3.0 s, whether another worker could run it or not. The same held for the workers of a stalled gang.

A job now keeps off the worker for 1 s, so that a task that fails fast does not use up its attempts there while another worker is about to become free. Until 2 s after the failure the worker is left out only while the others may suffice: eligible and usable ones with room for one task, or for the whole gang, that the advisor has not denied. Ones that the advisor was not asked about count as allowed, so they are asked first; a job with many of them waits for 2 s at most, and then for the renewal of its ticket.

Four tests failed before: no start at 2.5 s on the only worker, and no start at 1.1 s where the others are full, are denied, or are too few for a stalled gang. test_retry_avoids_the_worker_on_which_it_failed is unchanged and passes.

--- a/libs/workflows/src/cassiahold/workflows/health.py
+++ b/libs/workflows/src/cassiahold/workflows/health.py
@@ -11,7 +11,8 @@
 from cassiahold.core.ids import JobId, WorkerId
 from cassiahold.workflows.model import AttemptKey, AttemptOutcome
 
-RETRY_AVOIDANCE_S: typing.Final = 3.0  # no retry on the same worker this long
+RETRY_AVOIDANCE_S: typing.Final = 2.0  # other workers are preferred this long
+RETRY_PAUSE_S: typing.Final = 1.0  # no retry on the same worker this long
 QUARANTINE_FAILED_JOBS: typing.Final = 3  # distinct jobs that fail in a row
 INITIAL_QUARANTINE_S: typing.Final = 2.0
 MAX_QUARANTINE_S: typing.Final = 16.0
@@ -58,8 +59,11 @@
         self, job: JobId, worker: WorkerId, now: float
     ) -> bool:
         """Tell whether a job failed on a worker within the avoidance time."""
-        failed_at = self._failed_at_by_placement.get(_Placement(job, worker))
-        return failed_at is not None and now < failed_at + RETRY_AVOIDANCE_S
+        return self._failed_within(RETRY_AVOIDANCE_S, job, worker, now)
+
+    def is_retry_paused(self, job: JobId, worker: WorkerId, now: float) -> bool:
+        """Tell whether a job that failed on a worker may not start there."""
+        return self._failed_within(RETRY_PAUSE_S, job, worker, now)
 
     def is_quarantined(self, worker: WorkerId, now: float) -> bool:
         """Tell whether a worker gets no work because of its failures."""
@@ -165,6 +169,12 @@
         for attempt in attempts:
             self._progress_by_attempt.pop(attempt, None)
 
+    def _failed_within(
+        self, duration_s: float, job: JobId, worker: WorkerId, now: float
+    ) -> bool:
+        failed_at = self._failed_at_by_placement.get(_Placement(job, worker))
+        return failed_at is not None and now < failed_at + duration_s
+
     def _record_failure(self, placement: _Placement, now: float) -> None:
         self._failed_at_by_placement[placement] = now
         expired = [
--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -190,11 +190,7 @@
             if candidate.queue.advisor is None
             else self._workers_with_ticket(candidate.key)
         )
-        usable = [
-            worker
-            for worker in workers
-            if self._can_place_on(candidate, worker)
-        ]
+        usable = self._placeable_workers(candidate, workers)
         usable.sort(key=lambda worker: placement_rank(candidate, worker))
         return usable
 
@@ -208,6 +204,57 @@
             is not None
         ]
 
+    def _placeable_workers(
+        self, candidate: Candidate, workers: typing.Iterable[AvailableWorker]
+    ) -> list[AvailableWorker]:
+        """Return those of some workers on which tasks of a step may start.
+
+        Workers on which the job has failed recently are left out as long as
+        the others may suffice.
+        """
+        placeable = [
+            worker
+            for worker in workers
+            if self._can_place_on(candidate, worker)
+        ]
+        preferred = [
+            worker
+            for worker in placeable
+            if not self._is_avoided(candidate, worker)
+        ]
+        if len(preferred) == len(placeable) or self._can_avoid_failures(
+            candidate
+        ):
+            return preferred
+        return placeable
+
+    def _is_avoided(
+        self, candidate: Candidate, worker: AvailableWorker
+    ) -> bool:
+        return self._health.has_recent_failure(
+            candidate.key.job, worker.info.id, self._now
+        )
+
+    def _can_avoid_failures(self, candidate: Candidate) -> bool:
+        """Tell whether workers without a failure of the job may suffice.
+
+        One task or a whole gang has to fit.  Workers about which the advisor
+        has not been asked yet count as allowed.
+        """
+        others = [
+            worker
+            for worker in self._capacity_index.with_cores(
+                candidate.spec.resources
+            )
+            if self._can_place_on(candidate, worker)
+            and not self._is_avoided(candidate, worker)
+            and not self._advisor_replies.is_denied(
+                candidate.key, worker.info.id
+            )
+        ]
+        required_count = candidate.spec.tasks if candidate.spec.is_gang else 1
+        return _task_capacity(candidate, others) >= required_count
+
     def _can_place_on(
         self, candidate: Candidate, worker: AvailableWorker
     ) -> bool:
@@ -215,7 +262,7 @@
             candidate
         ):
             return False
-        return not self._health.has_recent_failure(
+        return not self._health.is_retry_paused(
             candidate.key.job, worker.info.id, self._now
         )
 
@@ -288,11 +335,9 @@
         """Return allowed workers that fit a whole gang, with headroom."""
         if candidate.queue.advisor is None:
             return []
-        workers = [
-            worker
-            for worker in self._allowed_workers(candidate)
-            if self._can_place_on(candidate, worker)
-        ]
+        workers = self._placeable_workers(
+            candidate, self._allowed_workers(candidate)
+        )
         if _task_capacity(candidate, workers) < task_count:
             return []
         workers.sort(
@@ -391,9 +436,10 @@
     ) -> list[AvailableWorker]:
         allowed_workers: list[AvailableWorker] = []
         unknown_workers: list[AvailableWorker] = []
-        for worker in self._capacity_index.with_cores(candidate.spec.resources):
-            if not self._can_place_on(candidate, worker):
-                continue
+        for worker in self._placeable_workers(
+            candidate,
+            self._capacity_index.with_cores(candidate.spec.resources),
+        ):
             if self._advisor_replies.is_allowed(candidate.key, worker.info.id):
                 allowed_workers.append(worker)
             elif not self._advisor_replies.is_denied(
--- a/libs/workflows/tests/test_planning.py
+++ b/libs/workflows/tests/test_planning.py
@@ -21,6 +21,8 @@
 from cassiahold.workflows.model import AttemptOutcome
 from cassiahold.workflows.planning import Plan, Planner, PlanningContext
 
+VALIDITY_S = 9.0
+
 
 def plan(
     cell: StateFixture,
@@ -358,4 +360,76 @@
     ).start_groups
 
 
+def fail_task(cell: StateFixture, worker: str) -> HealthTracker:
+    """Let the first attempt of the only task of a job fail at time 0."""
+    attempt = attempt_key('j', 0, 0)
+    cell.start((attempt, worker))
+    cell.end(attempt, worker, AttemptOutcome.FAILED)
+    health = HealthTracker()
+    health.record_outcome(WorkerId(worker), attempt, AttemptOutcome.FAILED, 0.0)
+    return health
+
+
+def test_failed_task_does_not_wait_while_other_workers_have_no_room() -> None:
+    cell = StateFixture('bad', 'full')
+    cell.submit('other', step_spec(resources=BIG))
+    cell.start((attempt_key('other', 0, 0), 'full'))
+    cell.submit('j', step_spec())
+    health = fail_task(cell, 'bad')
+    # Another worker may become free during the pause.
+    assert not plan(cell, health=health, now=0.9).start_groups
+    groups = plan(cell, health=health, now=1.1).start_groups
+    assert [group[0].worker for group in groups] == ['bad']
+    cell.end(attempt_key('other', 0, 0), 'full', AttemptOutcome.DONE)
+    groups = plan(cell, health=health, now=1.1).start_groups
+    assert [group[0].worker for group in groups] == ['full']
+
+
+def record_advisor_reply(
+    cell: StateFixture,
+    replies: AdvisorReplyCache,
+    token_by_worker: dict[WorkerId, str],
+    worker: str,
+) -> None:
+    step = attempt_key('j', 0, 0).task.step
+    replies.record_query(step)
+    replies.record_reply(
+        step,
+        QueueName('plans'),
+        [cell.state.worker_by_id[WorkerId(worker)].info],
+        AdvisorReply(token_by_worker, VALIDITY_S),
+        0.0,
+    )
+
+
+def test_retry_starts_where_it_failed_only_after_a_query_about_others() -> None:
+    cell = StateFixture(
+        'bad', 'good', config=configuration(queue_policy(has_advisor=True))
+    )
+    cell.submit('j', step_spec())
+    health = fail_task(cell, 'bad')
+    replies = AdvisorReplyCache()
+    record_advisor_reply(cell, replies, {WorkerId('bad'): 'ticket'}, 'bad')
+    planned = plan(cell, replies, health=health, now=1.1)
+    assert not planned.start_groups
+    (query,) = planned.advisor_queries
+    assert [info.id for info in query.workers] == ['good']
+    record_advisor_reply(cell, replies, {}, 'good')
+    groups = plan(cell, replies, health=health, now=1.1).start_groups
+    assert [group[0].worker for group in groups] == ['bad']
+
+
+def test_stalled_gang_does_not_wait_when_it_fits_nowhere_else() -> None:
+    cell = StateFixture('v', 'w', 'x')
+    cell.submit('j', step_spec(2, resources=BIG, is_gang=True))
+    health = HealthTracker()
+    for worker in ('v', 'w'):
+        health.record_stalled_gang(
+            WorkerId(worker), attempt_key('j', 0, 0), 0.0
+        )
+    assert not plan(cell, health=health, now=0.9).start_groups
+    (group,) = plan(cell, health=health, now=1.1).start_groups
+    assert len(group) == 2
+
+
 load_tests = function_tests(globals())
--- a/programs/cell/tests/leader_fixtures.py
+++ b/programs/cell/tests/leader_fixtures.py
@@ -106,6 +106,14 @@
         fence = self.sender.fence_by_worker[worker]
         return self.handle(local.PollDone(worker, fence, reply, boottime_s()))
 
+    def reply_to_poll_at(self, name: str, now: float) -> None:
+        """Let a worker reply at a later time that it runs nothing."""
+        worker = WorkerId(name)
+        fence = self.sender.fence_by_worker[worker]
+        self.service.handle_request(
+            local.PollDone(worker, fence, PollReply(1, 1000, (), ()), now), now
+        )
+
     def send_heartbeat(
         self,
         name: str,
--- a/programs/cell/tests/test_worker_sessions.py
+++ b/programs/cell/tests/test_worker_sessions.py
@@ -321,4 +321,17 @@
     assert source == b'second'
 
 
+def test_failed_task_starts_again_in_time_on_the_only_worker() -> None:
+    # A task may not stand for 3 s while there is capacity for it.
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    failed = EndedAttempt(1, start.attempt, AttemptOutcome.FAILED, '')
+    leader.reply_to_poll('w', ended=(failed,))
+    later = boottime_s() + 2.5
+    leader.reply_to_poll_at('w', later)
+    leader.apply_due_commands(later)
+    assert len(leader.sender.starts) == 2
+
+
 load_tests = function_tests(globals())
