Hold back at most half of a service's workers by quarantine

When several hopeless jobs had failed in a row on every worker, all work of the service stood for 2 to 16 s, beside free capacity and for no fault of the workers.

Cause: each worker was judged alone. Three distinct jobs that fail in a row quarantine a worker, and bad jobs fail on all of them.

held_back_workers now decides for all usable workers of a service: at most half of them are held back, the quarantined ones with the most recent failures. One that is in use and fails again takes the place of another, so that an unhealthy worker does not stay in use beside a sound one. A single worker is never held back. A worker in use after a stall counts as suspect until its next success, as after failures; it was not ranked last before.

test_quarantine_of_every_worker_does_not_hold_all_work failed before (no start). The three tests of the health use the new method, so they ended with an AttributeError before.

--- a/libs/workflows/src/cassiahold/workflows/health.py
+++ b/libs/workflows/src/cassiahold/workflows/health.py
@@ -1,27 +1,34 @@
 """Health of workers, inferred from the outcomes and progress of attempts.
 
 A worker is quarantined only when attempts of several jobs fail on it in a row:
-a job that fails on every worker does not indicate an unhealthy worker.
+a job that fails on every worker does not indicate an unhealthy worker.  Several
+such jobs fail in a row on every worker, so quarantines hold back only a bounded
+share of the workers of a service.
 """
 
+import collections
+import math
 import typing
 
 import msgspec
 
 from cassiahold.core.ids import JobId, WorkerId
-from cassiahold.workflows.model import AttemptKey, AttemptOutcome
+from cassiahold.workflows.model import AttemptKey, AttemptOutcome, WorkerInfo
 
 RETRY_AVOIDANCE_S: typing.Final = 2.0  # other workers are preferred this long
 RETRY_PAUSE_S: typing.Final = 1.0  # no retry on the same worker this long
 QUARANTINE_FAILED_JOBS: typing.Final = 3  # distinct jobs that fail in a row
 INITIAL_QUARANTINE_S: typing.Final = 2.0
 MAX_QUARANTINE_S: typing.Final = 16.0
+# Of the workers of a service that could get work otherwise.
+MAX_QUARANTINED_SHARE: typing.Final = 0.5
 STALL_TIMEOUT_S: typing.Final = 2.0  # without progress
 COMPLETE_PERCENT: typing.Final = 100
 
 
 class _Health(msgspec.Struct):
     failed_jobs: set[JobId] = msgspec.field(default_factory=set)
+    failed_at: float = -math.inf
     quarantined_until: float = 0.0
     next_quarantine_s: float = INITIAL_QUARANTINE_S
 
@@ -51,9 +58,12 @@
         self._failed_at_by_placement: dict[_Placement, float] = {}
 
     def is_suspect(self, worker: WorkerId) -> bool:
-        """Tell whether attempts have failed on a worker since a success."""
+        """Tell whether attempts failed or stalled since a success."""
         health = self._health_by_worker.get(worker)
-        return health is not None and bool(health.failed_jobs)
+        return health is not None and (
+            bool(health.failed_jobs)
+            or health.next_quarantine_s > INITIAL_QUARANTINE_S
+        )
 
     def has_recent_failure(
         self, job: JobId, worker: WorkerId, now: float
@@ -66,10 +76,29 @@
         return self._failed_within(RETRY_PAUSE_S, job, worker, now)
 
     def is_quarantined(self, worker: WorkerId, now: float) -> bool:
-        """Tell whether a worker gets no work because of its failures."""
+        """Tell whether the quarantine of a worker has not ended yet."""
         health = self._health_by_worker.get(worker)
         return health is not None and now < health.quarantined_until
 
+    def held_back_workers(
+        self, workers: typing.Iterable[WorkerInfo], now: float
+    ) -> frozenset[WorkerId]:
+        """Return which of some workers get no work because of failures.
+
+        Of the workers of each service at most ``MAX_QUARANTINED_SHARE`` are
+        held back: the quarantined ones with the most recent failures.
+        """
+        workers_by_service: dict[str, list[WorkerId]] = collections.defaultdict(
+            list
+        )
+        for worker in workers:
+            workers_by_service[worker.service].append(worker.id)
+        return frozenset(
+            worker_id
+            for service_workers in workers_by_service.values()
+            for worker_id in self._most_recently_failed(service_workers, now)
+        )
+
     def record_start(
         self, worker: WorkerId, attempt: AttemptKey, now: float
     ) -> None:
@@ -129,7 +158,9 @@
 
     def quarantine_for_stall(self, worker: WorkerId, now: float) -> None:
         """Quarantine a worker on which an attempt has stalled."""
-        self._quarantine(self._health_of(worker), now)
+        health = self._health_of(worker)
+        health.failed_at = now
+        self._quarantine(health, now)
 
     def attempt_duration_s(self, attempt: AttemptKey, now: float) -> float:
         """Return how long an attempt has run, 0 if its start was not seen."""
@@ -158,6 +189,7 @@
         elif outcome is AttemptOutcome.FAILED:
             self._record_failure(_Placement(attempt.task.step.job, worker), now)
             health.failed_jobs.add(attempt.task.step.job)
+            health.failed_at = now
             if len(health.failed_jobs) >= QUARANTINE_FAILED_JOBS:
                 self._quarantine(health, now)
 
@@ -169,6 +201,17 @@
         for attempt in attempts:
             self._progress_by_attempt.pop(attempt, None)
 
+    def _most_recently_failed(
+        self, workers: list[WorkerId], now: float
+    ) -> list[WorkerId]:
+        quarantined = [
+            worker for worker in workers if self.is_quarantined(worker, now)
+        ]
+        quarantined.sort(
+            key=lambda worker: (-self._health_of(worker).failed_at, worker)
+        )
+        return quarantined[: int(len(workers) * MAX_QUARANTINED_SHARE)]
+
     def _failed_within(
         self, duration_s: float, job: JobId, worker: WorkerId, now: float
     ) -> bool:
--- a/libs/workflows/tests/test_health.py
+++ b/libs/workflows/tests/test_health.py
@@ -1,6 +1,7 @@
 """Tests of the health inferred from outcomes and progress of attempts."""
 
-from state_fixtures import attempt_key
+import msgspec
+from state_fixtures import attempt_key, worker_info
 
 from cassiahold.core.ids import WorkerId
 from cassiahold.core.testing import function_tests
@@ -10,9 +11,11 @@
 WORKER = WorkerId('w')
 
 
-def record_failed_attempt(tracker: HealthTracker, job: str, now: float) -> None:
+def record_failed_attempt(
+    tracker: HealthTracker, job: str, now: float, worker: WorkerId = WORKER
+) -> None:
     tracker.record_outcome(
-        WORKER, attempt_key(job, 0, 0), AttemptOutcome.FAILED, now
+        worker, attempt_key(job, 0, 0), AttemptOutcome.FAILED, now
     )
 
 
@@ -60,4 +63,44 @@
     assert tracker.is_stalled(stalled, 4.0)
 
 
+def test_bad_jobs_do_not_hold_back_all_workers_of_a_service() -> None:
+    tracker = HealthTracker()
+    workers = [
+        msgspec.structs.replace(worker_info(name), service=service)
+        for name, service in (
+            ('u', 'other'),
+            ('v', 'svc'),
+            ('w', 'svc'),
+            ('x', 'svc'),
+        )
+    ]
+    for worker in workers:
+        for job in ('a', 'b', 'c'):
+            record_failed_attempt(tracker, job, 1.0, worker.id)
+    assert len(tracker.held_back_workers(workers, 1.1)) == 1
+    # The worker that fails again takes the place of the one held back.
+    record_failed_attempt(tracker, 'd', 1.2, WorkerId('x'))
+    assert tracker.held_back_workers(workers, 1.3) == {'x'}
+    assert not tracker.held_back_workers(workers, 9.0)
+
+
+def test_bad_worker_is_held_back_beside_a_good_one() -> None:
+    tracker = HealthTracker()
+    for job in ('a', 'b', 'c'):
+        record_failed_attempt(tracker, job, 1.0)
+    workers = [worker_info('v'), worker_info('w')]
+    assert tracker.held_back_workers(workers, 1.1) == {WORKER}
+
+
+def test_worker_in_use_after_a_stall_is_a_last_choice() -> None:
+    tracker = HealthTracker()
+    tracker.quarantine_for_stall(WORKER, 1.0)
+    assert not tracker.held_back_workers([worker_info('w')], 1.1)
+    assert tracker.is_suspect(WORKER)
+    tracker.record_outcome(
+        WORKER, attempt_key('a', 0, 0), AttemptOutcome.DONE, 1.2
+    )
+    assert not tracker.is_suspect(WORKER)
+
+
 load_tests = function_tests(globals())
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -91,13 +91,14 @@
 
     def usable_workers(self, now: float) -> frozenset[WorkerId]:
         """Return the workers that may get new work."""
-        return frozenset(
-            worker_id
+        usable = {
+            worker_id: session.info
             for worker_id, session in self._session_by_worker.items()
             if session.is_usable(now)
             and worker_id not in self._deregistered_at_by_worker
-            and not self.health.is_quarantined(worker_id, now)
-        )
+        }
+        held_back = self.health.held_back_workers(usable.values(), now)
+        return frozenset(usable) - held_back
 
     def due_commands(self, now: float) -> list[commands.Command]:
         """Return the commands that end unsent starts and remove workers."""
--- a/programs/cell/tests/test_worker_sessions.py
+++ b/programs/cell/tests/test_worker_sessions.py
@@ -18,14 +18,18 @@
 )
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.exceptions import ErrorKind
-from cassiahold.core.ids import WorkerId
+from cassiahold.core.ids import JobId, WorkerId
 from cassiahold.core.resources import Resources
 from cassiahold.core.testing import expect_error, function_tests
 from cassiahold.workflows.configuration import CellConfiguration
+from cassiahold.workflows.health import INITIAL_QUARANTINE_S
 from cassiahold.workflows.model import (
+    AttemptKey,
     AttemptOutcome,
     JobState,
+    StepKey,
     StepSpec,
+    TaskKey,
     WorkflowSpec,
 )
 from cassiahold.workflows.sessions import (
@@ -334,4 +338,25 @@
     assert len(leader.sender.starts) == 2
 
 
+def test_quarantine_of_every_worker_does_not_hold_all_work() -> None:
+    # Jobs that fail by their own fault have failed on each of the workers.
+    leader = make_leader('v', 'w')
+    health = leader.service.worker_sessions.health
+    now = boottime_s()
+    earlier = now - INITIAL_QUARANTINE_S - 0.1
+    for worker in ('v', 'w'):
+        for job in ('a', 'b', 'c', 'd'):
+            attempt = AttemptKey(TaskKey(StepKey(JobId(job), 0, 0), 0), 1)
+            failed_at = now if job == 'd' else earlier
+            health.record_outcome(
+                WorkerId(worker), attempt, AttemptOutcome.FAILED, failed_at
+            )
+    submit(leader, '/q/1')
+    later = now + 2.5
+    for worker in ('v', 'w'):
+        leader.reply_to_poll_at(worker, later)
+    leader.apply_due_commands(later)
+    assert len(leader.sender.starts) == 1
+
+
 load_tests = function_tests(globals())
