Count failures from the time when a queue was removed

A task that failed while its queue was absent from the configuration started again when the queue was back, a third time with attempts = 2 (BUDGET).

Cause: the limit was compared only when a failure ended, and without a queue there is none to compare with.

PutConfiguration, when applied, now fails each open job with a waiting task or gang that has failed as often as its queue allows. It carries the time of its proposal for that; in a log written before, the job ends with the time at which it was accepted. An attempt that runs at that moment may still succeed: the limit is compared with any end that does not complete the task, so that a lost one does not start again. All of it depends on replicated data alone.

A configuration that lowers the limit of a queue ends jobs in the same way.

Both tests failed before with the new field alone: the task waited for its third start, and after a lost third attempt the job was still open.

--- a/libs/workflows/src/cassiahold/workflows/attempt_results.py
+++ b/libs/workflows/src/cassiahold/workflows/attempt_results.py
@@ -10,10 +10,12 @@
 from cassiahold.workflows.model import (
     AttemptOutcome,
     JobRecord,
+    StepKey,
     StepSpec,
     TaskRecord,
     WorkerRecord,
 )
+from cassiahold.workflows.steps import startable_tasks, step_keys
 
 
 def update_speed(
@@ -76,7 +78,8 @@
 
     A job fails when a task or gang has failed as often as its queue allows,
     or when a task has crashed its workers too often.  A task that is already
-    done counts no more.
+    done counts no more.  Failures that were counted while the queue did not
+    exist take effect with any later end.
     """
     key = result.attempt.task.step
     step = record.step(key)
@@ -86,18 +89,38 @@
         return None
     if result.crash is not CrashEvidence.NONE:
         return _count_crash(task, result, spec)
-    if result.outcome is not AttemptOutcome.FAILED or spec.is_long_running:
-        return None
-    task.failures += 1
-    failures = task.failures
-    if spec.is_gang:
-        step.gang_failures += 1
-        failures = step.gang_failures
-    if queue is not None and failures >= queue.max_attempts:
+    if result.outcome is AttemptOutcome.FAILED and not spec.is_long_running:
+        task.failures += 1
+        step.gang_failures += int(spec.is_gang)
+    if _is_task_exhausted(record, key, result.attempt.task.task_index, queue):
         return FailureReason.ATTEMPTS
     return None
 
 
+def has_exhausted_task(record: JobRecord, queue: QueuePolicy | None) -> bool:
+    """Tell whether a task that waits has failed as often as its queue allows.
+
+    That is possible only after the configuration has changed.
+    """
+    return record.is_open and any(
+        _is_task_exhausted(record, key, task_index, queue)
+        for key in step_keys(record)
+        for task_index in startable_tasks(record, key)
+    )
+
+
+def _is_task_exhausted(
+    record: JobRecord, key: StepKey, task_index: int, queue: QueuePolicy | None
+) -> bool:
+    step = record.step(key)
+    failures = (
+        step.gang_failures
+        if record.spec.steps[key.step_index].is_gang
+        else step.tasks[task_index].failures
+    )
+    return queue is not None and failures >= max(queue.max_attempts, 1)
+
+
 def _count_crash(
     task: TaskRecord, result: AttemptResult, spec: StepSpec
 ) -> FailureReason | None:
--- a/libs/workflows/src/cassiahold/workflows/commands.py
+++ b/libs/workflows/src/cassiahold/workflows/commands.py
@@ -96,11 +96,13 @@
 class PutConfiguration(msgspec.Struct, frozen=True, tag='configure'):
     """Adopts a configuration when its version is higher.
 
-    ``source`` is the operator's document as it was received.
+    ``source`` is the operator's document as it was received.  ``adopted_at``
+    is 0 in logs written before it was added.
     """
 
     configuration: CellConfiguration
     source: bytes
+    adopted_at: float = msgspec.field(name='at', default=0.0)
 
 
 class PruneJobs(msgspec.Struct, frozen=True, tag='prune'):
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -17,6 +17,7 @@
 from cassiahold.workflows.allocations import AllocationLedger
 from cassiahold.workflows.attempt_results import (
     count_against_task,
+    has_exhausted_task,
     mark_done,
     store_checkpoint,
     update_speed,
@@ -309,12 +310,24 @@
         self._effects.append(commands.WorkerChanged(command.id))
 
     def put_configuration(self, command: commands.PutConfiguration) -> bool:
-        """Adopt a configuration; return False unless its version is higher."""
+        """Adopt a configuration; return False unless its version is higher.
+
+        Jobs that have failed as often as their queue allows now end.
+        """
         if command.configuration.version <= self._data.configuration.version:
             return False
         self._data.configuration = command.configuration
         self._data.configuration_source = command.source
         self.configuration_index = ConfigurationIndex(command.configuration)
+        for record in self._data.job_by_id.values():
+            queue = self.configuration_index.queue_by_name.get(record.queue)
+            if has_exhausted_task(record, queue):
+                self._finish_job(
+                    record,
+                    JobState.FAILED,
+                    max(command.adopted_at, record.accepted_at),
+                    commands.FailureReason.ATTEMPTS,
+                )
         return True
 
     def prune_jobs(self, command: commands.PruneJobs) -> int:
--- a/libs/workflows/tests/test_state.py
+++ b/libs/workflows/tests/test_state.py
@@ -6,6 +6,7 @@
     StateFixture,
     attempt_key,
     configuration,
+    queue_policy,
     step_spec,
     worker_info,
 )
@@ -228,4 +229,48 @@
     ].speed_estimate.sample_count
 
 
+def fail_without_queue(*, is_gang: bool) -> StateFixture:
+    """Return a cell whose queue was removed before the second failure."""
+    cell = StateFixture('w')
+    cell.submit('j', step_spec(is_gang=is_gang))
+    for attempt_number in (1, 2):
+        cell.start((attempt_key('j', 0, 0, attempt_number), 'w'))
+        if attempt_number == 2:
+            other = configuration(queue_policy('other'), version=2)
+            cell.apply(commands.PutConfiguration(other, b'', 7.0))
+        cell.end(
+            attempt_key('j', 0, 0, attempt_number), 'w', AttemptOutcome.FAILED
+        )
+    return cell
+
+
+def test_failures_without_a_queue_count_against_the_attempt_limit() -> None:
+    for is_gang in (False, True):
+        cell = fail_without_queue(is_gang=is_gang)
+        assert cell.job('j').is_open
+        cell.apply(
+            commands.PutConfiguration(configuration(version=3), b'', 9.0)
+        )
+        assert not cell.state.waiting_steps()
+        assert cell.start((attempt_key('j', 0, 0, 3), 'w')) == 0
+        assert cell.job('j').state is JobState.FAILED
+        assert cell.job('j').finished_at == 9.0
+        (finished,) = (
+            effect
+            for effect in cell.state.drain_effects()
+            if isinstance(effect, commands.JobFinished)
+        )
+        assert finished.reason is commands.FailureReason.ATTEMPTS
+
+
+def test_failures_without_a_queue_count_when_a_later_attempt_is_lost() -> None:
+    cell = fail_without_queue(is_gang=False)
+    # The state checks no queue: a start can be in the log already.
+    assert cell.start((attempt_key('j', 0, 0, 3), 'w')) == 1
+    cell.apply(commands.PutConfiguration(configuration(version=3), b'', 9.0))
+    assert cell.job('j').is_open
+    cell.end(attempt_key('j', 0, 0, 3), 'w', AttemptOutcome.LOST)
+    assert cell.job('j').state is JobState.FAILED
+
+
 load_tests = function_tests(globals())
--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -265,7 +265,7 @@
         if version <= self.state.configuration.version:
             return requests.Acknowledged()
         command = commands.PutConfiguration(
-            request.configuration, request.source
+            request.configuration, request.source, time.time()
         )
         return propose(command, lambda _: self._reply_configured(version))
 
