Count nothing as fitting on a worker that has shrunk below its allocations

Callers saw: nothing started over a shrunk capacity, but a waiting gang went on reserving the resources of other workers, because it still counted tasks on a worker that had shrunk below what ran on it, and other work waited.

Cause: `count_fitting` looked only at the resources that a step requires. A worker whose free memory is negative still counted by its free cores, and an empty amount fitted once in any case, while the start itself (`fits_in`) looks at every dimension. The same held for a team whose limit had been lowered.

Failed before: test_lack_of_one_resource_counts_for_a_step_that_needs_none and test_waiting_gang_does_not_count_on_capacity_that_is_gone. The other five new tests of test_capacity_changes.py passed before: the state rejects a start (also one decided on the earlier capacity, and a gang as a whole) until the rest fits, and what is being stopped counts until its end is recorded.

Change: `count_fitting` returns 0 unless the amount fits in every dimension.

A start that was applied before the shrink and is still queued is sent nevertheless. It is sent at most 2 s (`MAX_START_AGE_S`) after it was queued and its last try takes 0.4 s (`REQUEST_TIMEOUT_S`), so it ends before the shrink counts (some 4 s and a heartbeat later). To take it back would cost a stop and a new attempt for work that the rule allows.

--- a/libs/workflows/src/cassiahold/workflows/available_workers.py
+++ b/libs/workflows/src/cassiahold/workflows/available_workers.py
@@ -180,7 +180,13 @@
 
 
 def count_fitting(required: Resources, free: Resources) -> int:
-    """Return how many times an amount fits; 1 for an empty amount."""
+    """Return how many times an amount fits; 1 for an empty amount.
+
+    Nothing fits while ``free`` is negative in any dimension, even in one that
+    is not required: more is allocated than the capacity or the limit.
+    """
+    if not required.fits_in(free):
+        return 0
     if required == NO_RESOURCES:
         return 1
     fitting_count = UNBOUNDED_TASK_COUNT
@@ -192,7 +198,7 @@
         fitting_count = min(
             fitting_count, free.accelerators // required.accelerators
         )
-    return max(fitting_count, 0)
+    return fitting_count
 
 
 def _negative_free_cores(worker: AvailableWorker) -> int:
--- a/libs/workflows/src/cassiahold/workflows/model.py
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -222,7 +222,10 @@
 
     @property
     def free_resources(self) -> Resources:
-        """Return the resources that are not allocated."""
+        """Return the resources that are not allocated.
+
+        Negative where the capacity has shrunk below what is allocated.
+        """
         return self.info.capacity - self.allocated
 
     def count_tasks(self, step: StepKey) -> int:
--- /dev/null
+++ b/libs/workflows/tests/test_capacity_changes.py
@@ -0,0 +1,158 @@
+"""Tests of workers whose capacity shrinks and grows while they run."""
+
+import typing
+
+from state_fixtures import (
+    BIG,
+    CORES,
+    StateFixture,
+    attempt_key,
+    configuration,
+    queue_policy,
+    step_spec,
+    worker_info,
+)
+
+from cassiahold.core.ids import QueueName, WorkerId
+from cassiahold.core.resources import NO_RESOURCES, Resources
+from cassiahold.core.testing import function_tests
+from cassiahold.workflows import commands
+from cassiahold.workflows.advisor_replies import AdvisorReply, AdvisorReplyCache
+from cassiahold.workflows.available_workers import count_fitting
+from cassiahold.workflows.health import HealthTracker
+from cassiahold.workflows.model import AttemptOutcome
+from cassiahold.workflows.planning import Plan, Planner, PlanningContext
+
+ONLY_CORES = Resources(cores_m=1000)
+LITTLE_MEMORY = Resources(cores_m=4000, memory_mb=50)
+
+
+def report(
+    cell: StateFixture, name: str, capacity: Resources, incarnation: int = 1
+) -> typing.Any:
+    info = worker_info(name, incarnation, capacity=capacity)
+    return cell.apply(commands.RegisterWorker(info))
+
+
+def plan(
+    cell: StateFixture, advisor_replies: AdvisorReplyCache | None = None
+) -> Plan:
+    planner = Planner(
+        cell.state, advisor_replies or AdvisorReplyCache(), HealthTracker()
+    )
+    usable = frozenset(cell.state.worker_by_id)
+    return planner.plan(PlanningContext(usable, 0.1, 0.1))
+
+
+def allow_workers(cell: StateFixture, queue: str) -> AdvisorReplyCache:
+    """Return a cache with tickets of the first waiting step for all workers."""
+    advisor_replies = AdvisorReplyCache()
+    key = cell.state.waiting_steps()[0]
+    workers = [each.info for each in cell.state.worker_by_id.values()]
+    tokens = {info.id: 'token' for info in workers}
+    advisor_replies.record_query(key)
+    advisor_replies.record_reply(
+        key, QueueName(queue), workers, AdvisorReply(tokens, 2.0), 0.0
+    )
+    return advisor_replies
+
+
+def test_worker_below_its_allocations_gets_no_start() -> None:
+    cell = StateFixture('w')
+    cell.submit('j', step_spec(3))
+    cell.start((attempt_key('j', 0, 0), 'w'), (attempt_key('j', 0, 1), 'w'))
+    report(cell, 'w', CORES)
+    assert not plan(cell).start_groups
+    assert not cell.start((attempt_key('j', 0, 2), 'w'))
+    # One of the two fits again, but leaves nothing for a third.
+    cell.end(attempt_key('j', 0, 0), 'w', AttemptOutcome.LOST)
+    assert not plan(cell).start_groups
+    cell.end(attempt_key('j', 0, 1), 'w', AttemptOutcome.LOST)
+    assert len(plan(cell).start_groups) == 1
+
+
+def test_attempts_being_stopped_leave_no_room_on_a_shrunk_worker() -> None:
+    cell = StateFixture('w')
+    cell.submit('old', step_spec(2))
+    cell.submit('new', step_spec(1))
+    cell.start((attempt_key('old', 0, 0), 'w'), (attempt_key('old', 0, 1), 'w'))
+    report(cell, 'w', CORES + CORES)
+    cell.apply(commands.CancelJob(cell.job('old').id, 1.0))
+    assert not plan(cell).start_groups
+    assert not cell.start((attempt_key('new', 0, 0), 'w'))
+    cell.end(attempt_key('old', 0, 0), 'w', AttemptOutcome.STOPPED)
+    assert cell.start((attempt_key('new', 0, 0), 'w'))
+
+
+def test_lack_of_one_resource_counts_for_a_step_that_needs_none() -> None:
+    cell = StateFixture('w')
+    cell.submit('old', step_spec(1))
+    cell.submit('cores', step_spec(1, resources=ONLY_CORES))
+    cell.submit('nothing', step_spec(1, resources=NO_RESOURCES))
+    cell.start((attempt_key('old', 0, 0), 'w'))
+    report(cell, 'w', LITTLE_MEMORY)
+    assert not plan(cell).start_groups
+    assert not cell.start((attempt_key('cores', 0, 0), 'w'))
+    assert not cell.start((attempt_key('nothing', 0, 0), 'w'))
+    lacking = cell.state.worker_by_id[WorkerId('w')].free_resources
+    assert lacking.memory_mb < 0
+    for required in (ONLY_CORES, NO_RESOURCES, CORES):
+        assert not count_fitting(required, lacking)
+
+
+def test_start_decided_on_the_earlier_capacity_is_not_applied() -> None:
+    cell = StateFixture('v', 'w')
+    cell.submit('j', step_spec(4))
+    groups = plan(cell).start_groups
+    report(cell, groups[0][0].worker, CORES)
+    assert cell.apply(commands.StartAttempts(1, groups)) == 1
+
+
+def test_gang_does_not_start_partly_after_a_worker_shrinks() -> None:
+    cell = StateFixture('v', 'w')
+    cell.submit('gang', step_spec(8, is_gang=True))
+    groups = plan(cell).start_groups
+    assert len(groups) == 1
+    report(cell, 'w', BIG - CORES)
+    assert not cell.apply(commands.StartAttempts(1, groups))
+    assert not plan(cell).start_groups
+    report(cell, 'w', BIG)
+    assert cell.apply(commands.StartAttempts(1, plan(cell).start_groups)) == 8
+
+
+def test_waiting_gang_does_not_count_on_capacity_that_is_gone() -> None:
+    # The worker lacks memory, of which the gang needs none.
+    for has_advisor in (False, True):
+        config = configuration(
+            queue_policy('gangs', 1, has_advisor=has_advisor),
+            queue_policy('small', 2),
+        )
+        cell = StateFixture('v', 'w', config=config)
+        cell.submit('old', step_spec(1), queue='small')
+        cell.start((attempt_key('old', 0, 0), 'w'))
+        gang = step_spec(10, is_gang=True, resources=ONLY_CORES)
+        cell.submit('gang', gang, queue='gangs')
+        cell.submit('small', step_spec(4), queue='small')
+        advisor_replies = allow_workers(cell, 'gangs')
+        # With the three cores left on w the gang would have half of its needs.
+        assert not plan(cell, advisor_replies).start_groups
+        report(cell, 'w', LITTLE_MEMORY)
+        groups = plan(cell, advisor_replies).start_groups
+        assert [group[0].worker for group in groups] == ['v'] * 4
+
+
+def test_gang_lets_its_reservation_go_when_its_worker_shrinks() -> None:
+    config = configuration(
+        queue_policy('gangs', 1, has_advisor=True), queue_policy('small', 2)
+    )
+    cell = StateFixture('v', 'w', config=config)
+    cell.submit('gang', step_spec(9, is_gang=True), queue='gangs')
+    cell.submit('small', step_spec(8), queue='small')
+    advisor_replies = allow_workers(cell, 'gangs')
+    assert not plan(cell, advisor_replies).start_groups
+    report(cell, 'w', NO_RESOURCES)
+    groups = plan(cell, advisor_replies).start_groups
+    assert [group[0].worker for group in groups] == ['v'] * 4
+
+
+load_tests = function_tests(globals())
