Keep the sequence of a worker's newest change in the log of the cell

Callers saw: after a change of leader, a heartbeat that had been delayed made the capacity of a worker that had shrunk large again until the next heartbeat, and work could be started over it.

Cause: only the leader kept the sequence of heartbeats. Two more ways to the same end, under one leader: - A report that undid a growth whose command was not applied yet was compared with the applied state, found equal and dropped; the growth then took effect. - A poll answered by a new incarnation proposed the description of the earlier incarnation, also behind the first heartbeat of the new one.

What a poll says of a new incarnation is older than any heartbeat of it. A repeated description is proposed again if this leader has proposed another one in between. A command that only raises the sequence has no effect on sessions.

Replicas of the earlier version ignore the field; a group of both versions could differ only where a command in the log is older than the one before it.

--- a/libs/workflows/src/cassiahold/workflows/commands.py
+++ b/libs/workflows/src/cassiahold/workflows/commands.py
@@ -19,6 +19,9 @@
     WorkflowSpec,
 )
 
+# Of a description without a heartbeat; every heartbeat is newer.
+NO_HEARTBEAT_SEQUENCE: typing.Final = -1
+
 
 class AcceptJob(msgspec.Struct, frozen=True, tag='accept'):
     """Stores a job unless one with the same id is already stored."""
@@ -76,9 +79,14 @@
 
 
 class RegisterWorker(msgspec.Struct, frozen=True, tag='worker'):
-    """Adds a worker or updates its description."""
+    """Adds a worker or updates its description.
+
+    ``sequence`` is that of the heartbeat with the description.  It is None
+    in commands and snapshots of versions that did not store it.
+    """
 
     info: WorkerInfo
+    sequence: int | None = msgspec.field(name='seq', default=None)
 
 
 class RemoveWorker(msgspec.Struct, frozen=True, tag='forget'):
--- a/libs/workflows/src/cassiahold/workflows/model.py
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -211,7 +211,10 @@
 
 
 class WorkerRecord(msgspec.Struct):
-    """A known worker and the attempts that may be running on it."""
+    """A known worker and the attempts that may be running on it.
+
+    ``sequence`` is that of the newest heartbeat in the log, 0 if unknown.
+    """
 
     info: WorkerInfo
     allocated: Resources = NO_RESOURCES
@@ -219,6 +222,17 @@
         default_factory=dict
     )
     speed_estimate: SpeedEstimate = msgspec.field(default_factory=SpeedEstimate)
+    sequence: int = 0
+
+    def is_newer_than(self, info: WorkerInfo, sequence: int | None) -> bool:
+        """Tell whether a description is older than the known one.
+
+        Descriptions are ordered by incarnation, then by sequence.  One
+        without a sequence counts as new within its incarnation.
+        """
+        if info.incarnation != self.info.incarnation:
+            return info.incarnation < self.info.incarnation
+        return sequence is not None and sequence < self.sequence
 
     @property
     def free_resources(self) -> Resources:
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -195,7 +195,7 @@
                 data.configuration_source,
                 list(data.job_by_id.values()),
                 [
-                    commands.RegisterWorker(worker.info)
+                    commands.RegisterWorker(worker.info, worker.sequence)
                     for worker in data.worker_by_id.values()
                 ],
                 [
@@ -213,7 +213,9 @@
             snapshot.configuration_source,
             {record.id: record for record in snapshot.jobs},
             {
-                registration.info.id: WorkerRecord(registration.info)
+                registration.info.id: WorkerRecord(
+                    registration.info, sequence=registration.sequence or 0
+                )
                 for registration in snapshot.workers
             },
         )
@@ -277,19 +279,28 @@
             self._end_attempt(result, command.ended_at)
 
     def register_worker(self, command: commands.RegisterWorker) -> bool:
-        """Add or update a worker; return False for an older incarnation."""
+        """Add or update a worker; return False for an older description.
+
+        A newer heartbeat with the same description only raises the sequence.
+        """
         info = command.info
         record = self._data.worker_by_id.get(info.id)
         if record is None:
-            self._data.worker_by_id[info.id] = WorkerRecord(info)
-        elif info.incarnation < record.info.incarnation:
+            record = WorkerRecord(info)
+            self._data.worker_by_id[info.id] = record
+        elif record.is_newer_than(info, command.sequence):
             return False
-        else:
-            if info.incarnation > record.info.incarnation:
-                # The new incarnation may run on different hardware.
-                record.speed_estimate = SpeedEstimate()
-            # Attempts of earlier incarnations stay until their end is known.
-            record.info = info
+        elif info == record.info and command.sequence is not None:
+            record.sequence = command.sequence
+            return True
+        elif info.incarnation > record.info.incarnation:
+            # The new incarnation may run on different hardware.
+            record.speed_estimate = SpeedEstimate()
+            record.sequence = 0
+        # Attempts of earlier incarnations stay until their end is known.
+        record.info = info
+        if command.sequence is not None:
+            record.sequence = command.sequence
         self._effects.append(commands.WorkerChanged(info.id))
         return True
 
--- a/libs/workflows/tests/test_capacity_changes.py
+++ b/libs/workflows/tests/test_capacity_changes.py
@@ -2,6 +2,7 @@
 
 import typing
 
+import msgspec
 from state_fixtures import (
     BIG,
     CORES,
@@ -22,16 +23,21 @@
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import AttemptOutcome
 from cassiahold.workflows.planning import Plan, Planner, PlanningContext
+from cassiahold.workflows.state import WorkflowState
 
 ONLY_CORES = Resources(cores_m=1000)
 LITTLE_MEMORY = Resources(cores_m=4000, memory_mb=50)
 
 
 def report(
-    cell: StateFixture, name: str, capacity: Resources, incarnation: int = 1
+    cell: StateFixture,
+    name: str,
+    capacity: Resources,
+    incarnation: int = 1,
+    sequence: int | None = None,
 ) -> typing.Any:
     info = worker_info(name, incarnation, capacity=capacity)
-    return cell.apply(commands.RegisterWorker(info))
+    return cell.apply(commands.RegisterWorker(info, sequence))
 
 
 def plan(
@@ -155,4 +161,53 @@
     assert [group[0].worker for group in groups] == ['v'] * 4
 
 
+def test_older_report_of_an_incarnation_does_not_change_a_worker() -> None:
+    cell = StateFixture()
+    for sequence, capacity in ((3, BIG), (5, CORES)):
+        assert report(cell, 'w', capacity, sequence=sequence)
+    restored = WorkflowState()
+    restored.restore(cell.state.snapshot())
+    cell.state = restored
+    assert not report(cell, 'w', BIG, sequence=4)
+    assert restored.worker_by_id[WorkerId('w')].info.capacity == CORES
+    # The counts of a new incarnation start anew.
+    assert report(cell, 'w', BIG, incarnation=2, sequence=1)
+    assert not report(cell, 'w', CORES, incarnation=1, sequence=6)
+    assert report(cell, 'w', CORES, incarnation=2, sequence=2)
+
+
+def test_newer_sequence_of_an_unchanged_worker_is_kept() -> None:
+    cell = StateFixture()
+    report(cell, 'w', CORES, sequence=1)
+    cell.state.drain_effects()
+    assert report(cell, 'w', CORES, sequence=7)
+    assert not cell.state.drain_effects()
+    assert not report(cell, 'w', BIG, sequence=6)
+
+
+def test_registration_stored_without_a_sequence_is_still_read() -> None:
+    cell = StateFixture()
+    registration = msgspec.msgpack.decode(
+        commands.encode_command(commands.RegisterWorker(worker_info('w')))
+    )
+    registration.pop('seq')
+    assert cell.state.apply(msgspec.msgpack.encode(registration))
+    assert report(cell, 'w', CORES, sequence=2)
+    # Written by a leader of the earlier version.
+    assert cell.state.apply(msgspec.msgpack.encode(registration))
+    assert not report(cell, 'w', CORES, sequence=1)
+
+
+def test_snapshot_without_sequences_is_still_read() -> None:
+    cell = StateFixture('w')
+    snapshot = msgspec.msgpack.decode(cell.state.snapshot())
+    for registration in snapshot[3]:
+        registration.pop('seq')
+    restored = WorkflowState()
+    restored.restore(msgspec.msgpack.encode(snapshot))
+    assert restored.worker_by_id == cell.state.worker_by_id
+    cell.state = restored
+    assert report(cell, 'w', CORES, sequence=1)
+
+
 load_tests = function_tests(globals())
--- a/programs/cell/src/cassiahold/cell/heartbeats.py
+++ b/programs/cell/src/cassiahold/cell/heartbeats.py
@@ -6,19 +6,24 @@
 from cassiahold.workflows.model import WorkerInfo, WorkerRecord
 
 
-class _HeartbeatVersion(typing.NamedTuple):
-    incarnation: int
+class _Heartbeat(typing.NamedTuple):
+    info: WorkerInfo
     sequence: int
 
+    @property
+    def version(self) -> tuple[int, int]:
+        return self.info.incarnation, self.sequence
+
 
 class HeartbeatTracker:
     """Tracks the newest heartbeat of each worker seen by this leader.
 
-    Heartbeats are ordered by incarnation, then by sequence number.
+    Heartbeats are ordered by incarnation, then by sequence number.  The
+    registered worker contains the newest heartbeat that is in the log.
     """
 
     def __init__(self) -> None:
-        self._newest_by_worker: dict[WorkerId, _HeartbeatVersion] = {}
+        self._newest_by_worker: dict[WorkerId, _Heartbeat] = {}
 
     def is_outdated(
         self,
@@ -29,24 +34,34 @@
         """Tell whether a newer heartbeat or incarnation is known.
 
         A worker that drains does not become ready again in the same
-        incarnation.  The registered worker tells so to a new leader, which
-        has not seen the sequence numbers of earlier heartbeats.
+        incarnation.
         """
         if registered_worker is not None:
-            known = registered_worker.info
-            if info.incarnation < known.incarnation:
+            if registered_worker.is_newer_than(info, sequence):
                 return True
+            known = registered_worker.info
             is_same = info.incarnation == known.incarnation
             if is_same and known.is_draining and not info.is_draining:
                 return True
         newest = self._newest_by_worker.get(info.id)
         return (
             newest is not None
-            and _HeartbeatVersion(info.incarnation, sequence) < newest
+            and _Heartbeat(info, sequence).version < newest.version
         )
 
+    def is_stored(
+        self, info: WorkerInfo, registered_worker: WorkerRecord | None
+    ) -> bool:
+        """Tell whether the log has all that a heartbeat says.
+
+        A heartbeat that repeats the registered description is stored unless
+        another one was proposed in between.
+        """
+        if registered_worker is None or registered_worker.info != info:
+            return False
+        newest = self._newest_by_worker.get(info.id)
+        return newest is None or newest.info == info
+
     def record(self, info: WorkerInfo, sequence: int) -> None:
         """Record the newest heartbeat of a worker."""
-        self._newest_by_worker[info.id] = _HeartbeatVersion(
-            info.incarnation, sequence
-        )
+        self._newest_by_worker[info.id] = _Heartbeat(info, sequence)
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -183,8 +183,9 @@
         record = self._state.worker_by_id.get(info.id)
         if self._heartbeats.is_outdated(info, request.sequence, record):
             return self._heartbeat_accepted()
+        is_stored = self._heartbeats.is_stored(info, record)
         self._heartbeats.record(info, request.sequence)
-        if record is not None and record.info == info:
+        if is_stored:
             if info.id not in self._session_by_worker:
                 self._open_session(info, now)
             return self._heartbeat_accepted()
@@ -196,7 +197,9 @@
             sequence=request.sequence,
         )
         return Proposal(
-            commands.encode_command(commands.RegisterWorker(info)),
+            commands.encode_command(
+                commands.RegisterWorker(info, request.sequence)
+            ),
             lambda _: self._heartbeat_accepted(),
         )
 
@@ -260,7 +263,9 @@
     ) -> Proposal:
         info = msgspec.structs.replace(session.info, incarnation=incarnation)
         return Proposal(
-            commands.encode_command(commands.RegisterWorker(info)),
+            commands.encode_command(
+                commands.RegisterWorker(info, commands.NO_HEARTBEAT_SEQUENCE)
+            ),
             lambda _: local.SessionClosed(),
         )
 
