Store the sequence of a heartbeat that follows a gap

Callers saw: nothing yet. A worker grows for less than the time between two heartbeats that arrive, the heartbeat with the growth is delayed, the leader changes, and the delayed heartbeat makes the worker large again until the next one.

Cause: a heartbeat that repeats the known description is not in the log, so a new leader takes every heartbeat after the worker's last *change* for new. That is harmless for those that the earlier leader saw (they say the same), but not for one that it missed.

Failed before: test_missing_report_does_not_widen_the_capacity_at_a_new_leader (both of its parts run; the first assertion failed).

Change: a heartbeat whose sequence skips one is proposed even if it repeats the description; so is the first one that a new leader sees, unless it follows the registered one directly. In order and without losses nothing is proposed (test_unchanged_reports_in_order_are_not_stored).

--- a/programs/cell/src/cassiahold/cell/heartbeats.py
+++ b/programs/cell/src/cassiahold/cell/heartbeats.py
@@ -50,17 +50,24 @@
         )
 
     def is_stored(
-        self, info: WorkerInfo, registered_worker: WorkerRecord | None
+        self,
+        info: WorkerInfo,
+        sequence: int,
+        registered_worker: WorkerRecord | None,
     ) -> bool:
         """Tell whether the log has all that a heartbeat says.
 
         A heartbeat that repeats the registered description is stored unless
-        another one was proposed in between.
+        another one was proposed in between.  One after a gap in the sequence
+        is not: the missing heartbeats may say otherwise and arrive at a new
+        leader, which knows only the sequence in the log.
         """
         if registered_worker is None or registered_worker.info != info:
             return False
         newest = self._newest_by_worker.get(info.id)
-        return newest is None or newest.info == info
+        if newest is None:
+            return sequence <= registered_worker.sequence + 1
+        return newest.info == info and sequence <= newest.sequence + 1
 
     def record(self, info: WorkerInfo, sequence: int) -> None:
         """Record the newest heartbeat of a worker."""
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -177,13 +177,14 @@
     ) -> requests.HeartbeatAccepted | Proposal:
         """Handle a heartbeat; an outdated one changes nothing.
 
-        Proposes to update the worker when its description has changed.
+        Proposes to update the worker when its description has changed or a
+        new leader could take an older heartbeat for a newer one.
         """
         info = request.info
         record = self._state.worker_by_id.get(info.id)
         if self._heartbeats.is_outdated(info, request.sequence, record):
             return self._heartbeat_accepted()
-        is_stored = self._heartbeats.is_stored(info, record)
+        is_stored = self._heartbeats.is_stored(info, request.sequence, record)
         self._heartbeats.record(info, request.sequence)
         if is_stored:
             if info.id not in self._session_by_worker:
--- a/programs/cell/tests/test_capacity_reports.py
+++ b/programs/cell/tests/test_capacity_reports.py
@@ -118,6 +118,33 @@
     assert cell.capacity == SMALL
 
 
+def test_missing_report_does_not_widen_the_capacity_at_a_new_leader() -> None:
+    # The worker grew for a moment; that report overtakes no newer one.
+    cell = LoggedCell()
+    cell.report(1, SMALL)
+    cell.commit()
+    cell.report(3, SMALL)
+    cell.commit()
+    cell.change_leader()
+    cell.report(2, LARGE)
+    cell.commit()
+    assert cell.capacity == SMALL
+    # Two changes of leader, the second before the report arrives.
+    cell.report(5, SMALL)
+    cell.commit()
+    cell.change_leader()
+    cell.report(4, LARGE)
+    cell.commit()
+    assert cell.capacity == SMALL
+
+
+def test_unchanged_reports_in_order_are_not_stored() -> None:
+    cell = LoggedCell()
+    cell.report(1, SMALL)
+    cell.commit()
+    assert all(cell.report(sequence, SMALL) for sequence in range(2, 9))
+
+
 def test_poll_of_a_new_incarnation_does_not_restore_the_old_capacity() -> None:
     # The reply is handled while the first report is not committed yet.
     cell = LoggedCell()
