Take only the incarnation from a poll that finds a worker restarted

Callers saw: a worker shrank and restarted while the command with its last report waited in the log; a poll answered by the new incarnation made its capacity large again until the first heartbeat of that incarnation.

Cause: the proposal after such a poll carries the whole description that the session had, which commands already in the log may have changed. A second poll before the commit did it once more, within the same incarnation.

Change: with `NO_HEARTBEAT_SEQUENCE` the state keeps its description and takes over the incarnation; a repetition is older than what is known.

--- a/libs/workflows/src/cassiahold/workflows/commands.py
+++ b/libs/workflows/src/cassiahold/workflows/commands.py
@@ -19,7 +19,7 @@
     WorkflowSpec,
 )
 
-# Of a description without a heartbeat; every heartbeat is newer.
+# Of an incarnation that a poll found; each of its heartbeats is newer.
 NO_HEARTBEAT_SEQUENCE: typing.Final = -1
 
 
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -35,6 +35,7 @@
     StepKey,
     StepSpec,
     TaskKey,
+    WorkerInfo,
     WorkerRecord,
     new_job_record,
 )
@@ -81,6 +82,20 @@
     return max(count_by_worker.values()) <= max_tasks
 
 
+def _newest_description(
+    record: WorkerRecord, command: commands.RegisterWorker
+) -> WorkerInfo:
+    """Return what is known of the new incarnation of a worker.
+
+    A poll tells only of the incarnation; the rest may have changed since.
+    """
+    if command.sequence != commands.NO_HEARTBEAT_SEQUENCE:
+        return command.info
+    return msgspec.structs.replace(
+        record.info, incarnation=command.info.incarnation
+    )
+
+
 class WorkflowState:
     """State machine to which the commands of the log are applied in order.
 
@@ -297,10 +312,11 @@
             # The new incarnation may run on different hardware.
             record.speed_estimate = SpeedEstimate()
             record.sequence = 0
+            info = _newest_description(record, command)
         # Attempts of earlier incarnations stay until their end is known.
         record.info = info
         if command.sequence is not None:
-            record.sequence = command.sequence
+            record.sequence = max(command.sequence, 0)
         self._effects.append(commands.WorkerChanged(info.id))
         return True
 
--- a/programs/cell/tests/test_capacity_reports.py
+++ b/programs/cell/tests/test_capacity_reports.py
@@ -156,6 +156,18 @@
     assert cell.capacity == SMALL
 
 
+def test_poll_of_a_new_incarnation_does_not_undo_a_shrink() -> None:
+    # The last report of the earlier incarnation is not committed yet.
+    cell = LoggedCell()
+    cell.report(1, LARGE)
+    cell.commit()
+    cell.report(2, SMALL)
+    for _ in range(2):
+        cell.poll(incarnation=2)
+    cell.commit()
+    assert cell.capacity == SMALL
+
+
 def test_queued_start_is_given_up_before_a_shrink_counts() -> None:
     assert MAX_START_AGE_S + REQUEST_TIMEOUT_S < SHRINK_COUNTS_AFTER_S
 
