Test the rule on capacity over random orders of events

Callers see nothing.

The newest report is the one stored or acknowledged last; a late one that is ignored, or one of an ended incarnation, does not count.

--- a/libs/workflows/tests/test_capacity_changes.py
+++ b/libs/workflows/tests/test_capacity_changes.py
@@ -3,6 +3,8 @@
 import typing
 
 import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from state_fixtures import (
     BIG,
     CORES,
@@ -14,7 +16,7 @@
     worker_info,
 )
 
-from cassiahold.core.ids import QueueName, WorkerId
+from cassiahold.core.ids import JobId, QueueName, WorkerId
 from cassiahold.core.resources import NO_RESOURCES, Resources
 from cassiahold.core.testing import function_tests
 from cassiahold.workflows import commands
@@ -210,4 +212,90 @@
     assert report(cell, 'w', CORES, sequence=1)
 
 
+class _Orders:
+    """Plays events on one state; keeps the newest report of each worker."""
+
+    def __init__(self) -> None:
+        self.cell = StateFixture()
+        self.newest_by_worker: dict[str, tuple[int, Resources]] = {}
+        self.planned: list[commands.StartAttempts] = []
+        for name in ('v', 'w'):
+            self.report(name, 1, BIG)
+        self.cell.submit('small', step_spec(5))
+        self.cell.submit('gang', step_spec(3, is_gang=True))
+        self.cell.submit('cores', step_spec(3, resources=ONLY_CORES))
+
+    def report(self, name: str, sequence: int, capacity: Resources) -> None:
+        report(self.cell, name, capacity, sequence=sequence)
+        newest = self.newest_by_worker.get(name, (0, BIG))
+        if sequence > newest[0]:
+            self.newest_by_worker[name] = (sequence, capacity)
+
+    def report_new(self, name: str, lag: int, capacity: Resources) -> None:
+        # A late report is older than the newest; its sequence is not reused.
+        newest, _ = self.newest_by_worker[name]
+        sequence = newest - lag if lag else newest + 9
+        self.report(name, sequence, capacity)
+
+    def plan(self) -> None:
+        groups = plan(self.cell).start_groups
+        self.planned.append(commands.StartAttempts(1, groups))
+
+    def start_planned(self) -> None:
+        if not self.planned:
+            return
+        workers = self.cell.state.worker_by_id
+        earlier = {key: each.allocated for key, each in workers.items()}
+        self.cell.apply(self.planned.pop(0))
+        for key, worker in workers.items():
+            if worker.allocated != earlier[key]:
+                _, capacity = self.newest_by_worker[key]
+                assert worker.allocated.fits_in(capacity)
+        gang_tasks = self.cell.job('gang').steps_by_occurrence[0][0].tasks
+        numbers = {task.last_attempt_number for task in gang_tasks}
+        assert len(numbers) == 1
+
+    def end_one(self, name: str) -> None:
+        attempts = self.cell.state.worker_by_id[WorkerId(name)]
+        for attempt in list(attempts.resources_by_attempt)[:1]:
+            self.cell.end(attempt, name, AttemptOutcome.LOST)
+
+    def cancel(self, job: str) -> None:
+        self.cell.apply(commands.CancelJob(JobId(job), 1.0))
+
+    def change_leader(self) -> None:
+        state = WorkflowState()
+        state.restore(self.cell.state.snapshot())
+        self.cell.state = state
+
+
+_NAMES = st.sampled_from(('v', 'w'))
+_EVENTS = st.one_of(
+    st.tuples(
+        st.just('report_new'),
+        _NAMES,
+        st.sampled_from((0, 0, 1, 8)),
+        st.sampled_from((NO_RESOURCES, CORES, LITTLE_MEMORY, BIG)),
+    ),
+    st.tuples(st.just('plan')),
+    st.tuples(st.just('start_planned')),
+    st.tuples(st.just('end_one'), _NAMES),
+    st.tuples(st.just('cancel'), st.sampled_from(('small', 'gang', 'cores'))),
+    st.tuples(st.just('change_leader')),
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.lists(_EVENTS, max_size=30))
+def test_no_order_of_reports_brings_a_worker_over_the_newest(
+    events: list[tuple[typing.Any, ...]],
+) -> None:
+    orders = _Orders()
+    for name, *arguments in events:
+        getattr(orders, name)(*arguments)
+    orders.plan()
+    while orders.planned:
+        orders.start_planned()
+
+
 load_tests = function_tests(globals())
