--- a/libs/workflows/src/cassiahold/workflows/model.py
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -216,6 +216,7 @@
     """A known worker and the attempts that may be running on it.
 
     ``suspect_attempts`` are those of tasks that may crash their worker.
+    ``sequence`` is that of the newest heartbeat in the log, 0 if unknown.
     """
 
     info: WorkerInfo
@@ -225,10 +226,24 @@
     )
     speed_estimate: SpeedEstimate = msgspec.field(default_factory=SpeedEstimate)
     suspect_attempts: set[AttemptKey] = msgspec.field(default_factory=set)
+    sequence: int = 0
+
+    def is_newer_than(self, info: WorkerInfo, sequence: int | None) -> bool:
+        """Tell whether a description is older than the known one.
+
+        Descriptions are ordered by incarnation, then by sequence.  One
+        without a sequence counts as new within its incarnation.
+        """
+        if info.incarnation != self.info.incarnation:
+            return info.incarnation < self.info.incarnation
+        return sequence is not None and sequence < self.sequence
 
     @property
     def free_resources(self) -> Resources:
-        """Return the resources that are not allocated."""
+        """Return the resources that are not allocated.
+
+        Negative where the capacity has shrunk below what is allocated.
+        """
         return self.info.capacity - self.allocated
 
     def count_tasks(self, step: StepKey) -> int:
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -188,14 +188,16 @@
     ) -> requests.HeartbeatAccepted | Proposal:
         """Handle a heartbeat; an outdated one changes nothing.
 
-        Proposes to update the worker when its description has changed.
+        Proposes to update the worker when its description has changed or a
+        new leader could take an older heartbeat for a newer one.
         """
         info = request.info
         record = self._state.worker_by_id.get(info.id)
         if self._heartbeats.is_outdated(info, request.sequence, record):
             return self._heartbeat_accepted()
+        is_stored = self._heartbeats.is_stored(info, request.sequence, record)
         self._heartbeats.record(info, request.sequence)
-        if record is not None and record.info == info:
+        if is_stored:
             if info.id not in self._session_by_worker:
                 self._open_session(info, now)
             return self._heartbeat_accepted()
@@ -207,7 +209,9 @@
             sequence=request.sequence,
         )
         return Proposal(
-            commands.encode_command(commands.RegisterWorker(info)),
+            commands.encode_command(
+                commands.RegisterWorker(info, request.sequence)
+            ),
             lambda _: self._heartbeat_accepted(),
         )
 
@@ -278,7 +282,9 @@
     ) -> Proposal:
         info = msgspec.structs.replace(session.info, incarnation=incarnation)
         return Proposal(
-            commands.encode_command(commands.RegisterWorker(info)),
+            commands.encode_command(
+                commands.RegisterWorker(info, commands.NO_HEARTBEAT_SEQUENCE)
+            ),
             lambda _: local.SessionClosed(),
         )
 
