Start tasks that may crash their workers apart from other starts

Cause: what a crash had freed was started again together, by best fit on the same returned worker, so one such task blamed the same others again; and every start in the 0.5 s before a crash weighed the same, however many there were.

The evidence is now 2 for an attempt that was present, 3 for a recent start and 4 for one without a recent start of another job; a job is given up at 10. From 3 on a task starts alone on a settled worker with few tasks, on a tenth of the workers at a time, on all while less than half of the capacity is allocated.

--- a/libs/workflows/src/cassiahold/workflows/available_workers.py
+++ b/libs/workflows/src/cassiahold/workflows/available_workers.py
@@ -14,6 +14,7 @@
 from cassiahold.core.resources import NO_RESOURCES, Resources
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import StepKey, WorkerInfo, WorkerRecord
+from cassiahold.workflows.suspects import has_trial, trial_limit
 from cassiahold.workflows.urgency import Candidate
 
 SPEED_RESOLUTION: typing.Final = 0.25  # speeds this close count as equal
@@ -27,6 +28,7 @@
     """A worker and the resources that are still free in this pass.
 
     ``planned_tasks_by_step`` counts the tasks that the pass assigned to it.
+    ``has_trial`` is set while it runs a task that may soon crash it.
     """
 
     record: WorkerRecord
@@ -34,6 +36,7 @@
     free_resources: Resources
     speed: float
     is_suspect: bool
+    has_trial: bool = False
     planned_tasks_by_step: dict[StepKey, int] = msgspec.field(
         default_factory=dict
     )
@@ -44,6 +47,12 @@
             step, 0
         )
 
+    def count_all_tasks(self) -> int:
+        """Return how many tasks run here or are assigned here."""
+        return len(self.record.resources_by_attempt) + sum(
+            self.planned_tasks_by_step.values()
+        )
+
     def has_capacity_for(self, candidate: Candidate) -> bool:
         """Tell whether one more task of a step fits."""
         spec = candidate.spec
@@ -79,7 +88,10 @@
     """The usable workers, ordered by free cores at the start of the pass."""
 
     def __init__(
-        self, workers: typing.Iterable[WorkerRecord], health: HealthTracker
+        self,
+        workers: typing.Iterable[WorkerRecord],
+        health: HealthTracker,
+        now: float,
     ) -> None:
         self._ordered = [
             AvailableWorker(
@@ -88,6 +100,7 @@
                 worker.free_resources,
                 worker.speed_estimate.speed,
                 health.is_suspect(worker.info.id),
+                has_trial(worker, health, now),
             )
             for worker in workers
         ]
@@ -106,6 +119,12 @@
         selected = (self._worker_by_id.get(worker_id) for worker_id in workers)
         return [worker for worker in selected if worker is not None]
 
+    def remaining_trials(self) -> int:
+        """Return on how many more workers a suspect task may start."""
+        records = [worker.record for worker in self._ordered]
+        trial_count = sum(worker.has_trial for worker in self._ordered)
+        return trial_limit(records) - trial_count
+
     def all_workers(self) -> list[AvailableWorker]:
         """Return every usable worker, those with most free cores first."""
         return self._ordered
@@ -153,6 +172,16 @@
     )
 
 
+def isolation_rank(
+    candidate: Candidate, worker: AvailableWorker
+) -> tuple[int, _PlacementRank]:
+    """Return a sort key for a task that may crash its worker.
+
+    The worker comes first on which the fewest tasks would end with it.
+    """
+    return worker.count_all_tasks(), placement_rank(candidate, worker)
+
+
 def query_rank(
     candidate: Candidate, worker: AvailableWorker
 ) -> tuple[bool, bool, int]:
--- a/libs/workflows/src/cassiahold/workflows/crashes.py
+++ b/libs/workflows/src/cassiahold/workflows/crashes.py
@@ -14,9 +14,10 @@
 
 # A task that crashes its worker mostly does so soon after its start.
 RECENT_START_S: typing.Final = 0.5
-MAX_CRASH_SCORE: typing.Final = 5
-# From this score on a task starts apart from others of its kind.
-SUSPECT_CRASH_SCORE: typing.Final = 2
+# No task starts a sixth time after five crashes, whatever the evidence.
+MAX_CRASH_SCORE: typing.Final = 10
+# From this score on a task starts apart from other recent starts.
+SUSPECT_CRASH_SCORE: typing.Final = 3
 # A long-running task that has run this long did not crash its worker.
 PROVEN_RUN_S: typing.Final = 30.0
 
@@ -25,34 +26,46 @@
     """What the crash of a worker tells about one of its attempts.
 
     The values are added up in the crash score of the task.  ``PRESENT`` means
-    that the attempt was running or may have been, ``RECENT`` that its start
-    was sent shortly before the crash.
+    that the attempt was running or may have been, ``RECENT`` that it may have
+    started shortly before the crash, ``ONLY_RECENT`` that moreover no attempt
+    of another job on that worker may have.
     """
 
     NONE = 0
-    PRESENT = 1
-    RECENT = 2
+    PRESENT = 2
+    RECENT = 3
+    ONLY_RECENT = 4
 
 
 def weigh_crash(
     attempts: typing.Iterable[AttemptKey],
     sent_at_by_attempt: typing.Mapping[AttemptKey, float],
-    crashed_at: float,
+    alive_at: float,
 ) -> dict[AttemptKey, CrashEvidence]:
     """Return the evidence of one crash against each attempt of the worker.
 
     ``sent_at_by_attempt`` tells when starts were sent, as far as the leader
-    knows; it and ``crashed_at`` are on the steady clock.
+    knows, and ``alive_at`` when the worker last replied, both on the steady
+    clock.  The worker crashed after that, unnoticed for a while if its
+    connections were silent.
     """
-    recent_since = crashed_at - RECENT_START_S
-    return {
-        attempt: (
-            CrashEvidence.RECENT
-            if sent_at_by_attempt.get(attempt, -math.inf) > recent_since
-            else CrashEvidence.PRESENT
+    recent_since = alive_at - RECENT_START_S
+    evidence_by_attempt = dict.fromkeys(attempts, CrashEvidence.PRESENT)
+    recent_attempts = [
+        attempt
+        for attempt in evidence_by_attempt
+        if sent_at_by_attempt.get(attempt, -math.inf) > recent_since
+    ]
+    job_count = len({attempt.task.step.job for attempt in recent_attempts})
+    evidence_by_attempt.update(
+        dict.fromkeys(
+            recent_attempts,
+            CrashEvidence.ONLY_RECENT
+            if job_count == 1
+            else CrashEvidence.RECENT,
         )
-        for attempt in attempts
-    }
+    )
+    return evidence_by_attempt
 
 
 def is_suspect(crash_score: int) -> bool:
--- a/libs/workflows/src/cassiahold/workflows/health.py
+++ b/libs/workflows/src/cassiahold/workflows/health.py
@@ -169,6 +169,13 @@
             return 0.0
         return now - progress.started_at
 
+    def has_run_for(
+        self, attempt: AttemptKey, duration_s: float, now: float
+    ) -> bool:
+        """Tell whether an attempt is known to have started some time ago."""
+        progress = self._progress_by_attempt.get(attempt)
+        return progress is not None and now >= progress.started_at + duration_s
+
     def record_outcome(
         self,
         worker: WorkerId,
--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -33,15 +33,18 @@
     AvailableWorker,
     CapacityIndex,
     count_fitting,
+    isolation_rank,
     placement_rank,
     query_rank,
 )
 from cassiahold.workflows.commands import AttemptStart
 from cassiahold.workflows.configuration import QueuePolicy
+from cassiahold.workflows.crashes import is_suspect
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import AttemptKey, StepKey, TaskKey, WorkerInfo
 from cassiahold.workflows.state import WorkflowState
 from cassiahold.workflows.steps import startable_tasks
+from cassiahold.workflows.suspects import is_settled
 from cassiahold.workflows.urgency import Backlog, Candidate
 
 # More workers than a gang needs, since more urgent work may take some of them.
@@ -134,6 +137,7 @@
                 if worker.info.id in self._usable_workers
             ),
             self._health,
+            self._now,
         )
 
     def run(self, candidates: list[Candidate]) -> Plan:
@@ -145,7 +149,7 @@
             if candidate.spec.is_gang:
                 self._place_gang(candidate, tasks)
             else:
-                self._place_tasks(candidate, tasks)
+                self._place_step(candidate, tasks)
         return self._plan
 
     def _awaits_first_reply(self, candidate: Candidate) -> bool:
@@ -157,6 +161,49 @@
 
     # Tasks that start one by one.
 
+    def _place_step(self, candidate: Candidate, tasks: list[int]) -> None:
+        records = candidate.record.step(candidate.key).tasks
+        suspects = [
+            index for index in tasks if is_suspect(records[index].crash_score)
+        ]
+        if suspects:
+            tasks = [index for index in tasks if index not in suspects]
+            self._place_suspects(candidate, suspects)
+        if tasks:
+            self._place_tasks(candidate, tasks)
+
+    def _place_suspects(self, candidate: Candidate, tasks: list[int]) -> None:
+        """Start tasks that may crash their workers, each on another worker.
+
+        A worker on which other tasks have just started is kept free of further
+        ones until it can take the suspect task.
+        """
+        trial_count = min(len(tasks), self._capacity_index.remaining_trials())
+        if trial_count <= 0:
+            return
+        allowed_count = self._count_within_limit(candidate, trial_count)
+        if not allowed_count:
+            return
+        workers = self._eligible_workers(candidate)
+        workers.sort(
+            key=lambda worker: (
+                not self._is_settled(worker),
+                isolation_rank(candidate, worker),
+            )
+        )
+        for task, worker in zip(tasks[:allowed_count], workers, strict=False):
+            if self._is_settled(worker):
+                start = self._assign_task(candidate, task, worker)
+                self._plan.start_groups.append([start])
+            worker.has_trial = True
+        if len(workers) < allowed_count:
+            self._query_for_tasks(candidate, allowed_count - len(workers))
+
+    def _is_settled(self, worker: AvailableWorker) -> bool:
+        return not worker.planned_tasks_by_step and is_settled(
+            worker.record, self._health, self._now
+        )
+
     def _place_tasks(self, candidate: Candidate, tasks: list[int]) -> None:
         allowed_count = self._count_within_limit(candidate, len(tasks))
         if not allowed_count:
@@ -258,8 +305,10 @@
     def _can_place_on(
         self, candidate: Candidate, worker: AvailableWorker
     ) -> bool:
-        if not worker.has_capacity_for(candidate) or not worker.is_eligible_for(
-            candidate
+        if (
+            worker.has_trial
+            or not worker.has_capacity_for(candidate)
+            or not worker.is_eligible_for(candidate)
         ):
             return False
         return not self._health.is_retry_paused(
@@ -274,6 +323,8 @@
         worker.free_resources -= resources
         planned_tasks = worker.planned_tasks_by_step.get(candidate.key, 0)
         worker.planned_tasks_by_step[candidate.key] = planned_tasks + 1
+        task = record.step(candidate.key).tasks[task_index]
+        worker.has_trial |= is_suspect(task.crash_score)
         planned_usage = self._planned_usage_by_team.get(
             record.team, NO_RESOURCES
         )
@@ -305,6 +356,11 @@
         if self._count_within_limit(candidate, task_count) < task_count:
             return
         workers = self._eligible_workers(candidate)
+        records = candidate.record.step(candidate.key).tasks
+        if any(is_suspect(task.crash_score) for task in records):
+            if self._capacity_index.remaining_trials() <= 0:
+                return
+            workers.sort(key=lambda worker: isolation_rank(candidate, worker))
         if _task_capacity(candidate, workers) >= task_count:
             self._plan.start_groups.append(
                 self._assign_tasks(candidate, tasks, workers)
--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -102,7 +102,8 @@
         self._clock_read_at = now
         self._is_clock_known = False
         self._paused_until = now
-        self._failing_since: float | None = None
+        self.is_failing = False
+        self._alive_at = -math.inf
         self._start_by_attempt: dict[AttemptKey, _StartState] = {}
 
     @property
@@ -110,11 +111,6 @@
         """Tell whether the worker has replied to a poll with this fence."""
         return self.last_reply_at is not None
 
-    @property
-    def is_failing(self) -> bool:
-        """Tell whether the worker was unreachable since its last reply."""
-        return self._failing_since is not None
-
     def is_usable(self, now: float) -> bool:
         """Tell whether new work may be sent to the worker."""
         return (
@@ -156,6 +152,7 @@
 
     def record_clock(self, clock_ms: int, received_at: float) -> None:
         """Record the worker's clock from a reply; ignore older readings."""
+        self._alive_at = max(self._alive_at, received_at)
         if clock_ms >= self._clock_ms:
             self._clock_ms = clock_ms
             self._clock_read_at = received_at
@@ -204,32 +201,30 @@
         """
         return self.last_stored_end if now < self._acknowledge_until else 0
 
-    def record_poll_failed(self, now: float) -> None:
+    def record_poll_failed(self) -> None:
         """Record that a poll got no reply: the worker may have restarted.
 
         The worker gets no new work until it replies to a poll.
         """
-        self.record_unreachable(now)
+        self.record_unreachable()
         self._acknowledge_until = 0.0
 
-    def record_unreachable(self, now: float) -> None:
+    def record_unreachable(self) -> None:
         """Record that no connection to the worker could be established.
 
         The worker gets no new work until it replies to a poll.
         """
-        if self._failing_since is None:
-            self._failing_since = now
+        self.is_failing = True
 
     def weigh_crash(
-        self, attempts: typing.Iterable[AttemptKey], now: float
+        self, attempts: typing.Iterable[AttemptKey]
     ) -> dict[AttemptKey, CrashEvidence]:
         """Return the evidence of this incarnation's crash by attempt."""
         sent_at_by_attempt = {
             attempt: start.sent_at
             for attempt, start in self._start_by_attempt.items()
         }
-        crashed_at = now if self._failing_since is None else self._failing_since
-        return weigh_crash(attempts, sent_at_by_attempt, crashed_at)
+        return weigh_crash(attempts, sent_at_by_attempt, self._alive_at)
 
     def reconcile(
         self,
@@ -245,7 +240,7 @@
         """
         is_first_reply = not self.has_replied
         self.last_reply_at = now
-        self._failing_since = None
+        self.is_failing = False
         self._acknowledge_until = now + ACKNOWLEDGEMENT_WINDOW_S
         self.record_clock(reply.clock_ms, now)
         findings = PollFindings()
--- a/libs/workflows/tests/test_crashes.py
+++ b/libs/workflows/tests/test_crashes.py
@@ -7,7 +7,6 @@
 from cassiahold.core.testing import function_tests
 from cassiahold.workflows import commands
 from cassiahold.workflows.crashes import (
-    MAX_CRASH_SCORE,
     PROVEN_RUN_S,
     CrashEvidence,
     weigh_crash,
@@ -19,6 +18,9 @@
     TaskRecord,
 )
 
+# A sixth start is one too many.
+MAX_STARTS = 5
+
 
 def crash(
     cell: StateFixture,
@@ -47,28 +49,51 @@
     recent, earlier, unknown = (
         attempt_key('j', 0, index) for index in range(3)
     )
+    other = attempt_key('other', 0, 0)
     evidence_by_attempt = weigh_crash(
-        (recent, earlier, unknown), {recent: 9.9, earlier: 5.0}, 10.0
+        (recent, other, earlier, unknown),
+        {recent: 9.9, other: 9.8, earlier: 5.0},
+        10.0,
     )
     assert evidence_by_attempt == {
         recent: CrashEvidence.RECENT,
+        other: CrashEvidence.RECENT,
         earlier: CrashEvidence.PRESENT,
         unknown: CrashEvidence.PRESENT,
     }
 
 
+def test_start_after_the_last_reply_counts_as_recent() -> None:
+    # The worker crashed with silent connections, which was noticed late.
+    sole = attempt_key('j', 0, 0)
+    evidence_by_attempt = weigh_crash((sole,), {sole: 10.2}, 10.0)
+    assert evidence_by_attempt[sole] is CrashEvidence.ONLY_RECENT
+
+
+def test_only_job_with_recent_starts_is_the_most_likely_cause() -> None:
+    first, sibling = attempt_key('j', 0, 0), attempt_key('j', 0, 1)
+    sent_at_by_attempt = {first: 9.9, sibling: 9.8}
+    evidence_by_attempt = weigh_crash(
+        (first, sibling), sent_at_by_attempt, 10.0
+    )
+    assert set(evidence_by_attempt.values()) == {CrashEvidence.ONLY_RECENT}
+
+
 def test_crash_that_is_told_twice_counts_once() -> None:
     cell = StateFixture('w')
     cell.submit('j', step_spec())
     command = crash(cell, attempt_key('j', 0, 0), CrashEvidence.RECENT)
     cell.apply(command)
-    assert cell.job('j').steps_by_occurrence[0][0].tasks[0].crash_score == 2
+    assert (
+        cell.job('j').steps_by_occurrence[0][0].tasks[0].crash_score
+        == CrashEvidence.RECENT
+    )
 
 
 def test_task_without_recent_starts_is_given_up_in_the_end() -> None:
     cell = StateFixture('w')
     cell.submit('j', step_spec())
-    for number in range(1, MAX_CRASH_SCORE + 1):
+    for number in range(1, MAX_STARTS + 1):
         assert cell.job('j').is_open
         crash(cell, attempt_key('j', 0, 0, number), CrashEvidence.PRESENT)
     assert cell.job('j').state is JobState.FAILED
@@ -85,7 +110,7 @@
     cell.submit('j', step_spec(2))
     cell.start((attempt_key('j', 0, 1), 'x'))
     for number in range(1, 4):
-        crash(cell, attempt_key('j', 0, 0, number), CrashEvidence.RECENT)
+        crash(cell, attempt_key('j', 0, 0, number), CrashEvidence.ONLY_RECENT)
     stops = [
         effect.attempt
         for effect in cell.state.drain_effects()
@@ -101,7 +126,7 @@
     for number in range(1, 4):
         member = attempt_key('j', 0, 1, number)
         cell.start((member, 'x'))
-        crash(cell, attempt_key('j', 0, 0, number), CrashEvidence.RECENT)
+        crash(cell, attempt_key('j', 0, 0, number), CrashEvidence.ONLY_RECENT)
         cell.end(member, 'x', AttemptOutcome.GANG_MEMBER_ENDED)
     assert cell.job('j').state is JobState.FAILED
 
@@ -114,18 +139,18 @@
         crash(
             cell,
             attempt_key('j', 0, 0, number),
-            CrashEvidence.RECENT,
+            CrashEvidence.ONLY_RECENT,
             duration_s,
         )
     assert cell.job('j').is_open
-    crash(cell, attempt_key('j', 0, 0, 6), CrashEvidence.RECENT, 0.1)
+    crash(cell, attempt_key('j', 0, 0, 6), CrashEvidence.ONLY_RECENT, 0.1)
     assert cell.job('j').state is JobState.FAILED
 
 
 def test_crash_score_survives_a_snapshot() -> None:
     cell = StateFixture('w')
     cell.submit('j', step_spec())
-    crash(cell, attempt_key('j', 0, 0), CrashEvidence.RECENT)
+    crash(cell, attempt_key('j', 0, 0), CrashEvidence.ONLY_RECENT)
     cell.state.restore(cell.state.snapshot())
     cell.start((attempt_key('j', 0, 0, 2), 'w'))
     worker = cell.state.worker_by_id[WorkerId('w')]
--- a/libs/workflows/tests/test_sessions.py
+++ b/libs/workflows/tests/test_sessions.py
@@ -56,7 +56,7 @@
     assert session.end_to_acknowledge(3.0) == 0
     session.reconcile(make_reply(), (), 3.0, 3.1)
     assert session.end_to_acknowledge(3.2) == 7
-    session.record_poll_failed(3.2)
+    session.record_poll_failed()
     assert session.end_to_acknowledge(3.2) == 0
 
 
--- /dev/null
+++ b/libs/workflows/tests/test_suspects.py
@@ -0,0 +1,166 @@
+"""Tests of the placement of tasks that may crash their workers."""
+
+from state_fixtures import StateFixture, attempt_key, step_spec
+
+from cassiahold.core.ids import JobId, WorkerId
+from cassiahold.core.resources import Resources
+from cassiahold.core.testing import function_tests
+from cassiahold.workflows import commands
+from cassiahold.workflows.advisor_replies import AdvisorReplyCache
+from cassiahold.workflows.crashes import RECENT_START_S, CrashEvidence
+from cassiahold.workflows.health import HealthTracker
+from cassiahold.workflows.model import AttemptKey, AttemptOutcome
+from cassiahold.workflows.planning import Planner, PlanningContext
+
+NOW_S = 10.0
+HALF = Resources(cores_m=2000, memory_mb=2000)
+
+
+def crash(cell: StateFixture, job: str, *tasks: int) -> None:
+    """Let a worker crash just after the first attempts of some tasks."""
+    attempts = [attempt_key(job, 0, task) for task in tasks]
+    for attempt in attempts:
+        assert cell.start((attempt, 'crashed'))
+    cell.apply(
+        commands.EndAttempts(
+            [
+                commands.AttemptResult(
+                    attempt,
+                    WorkerId('crashed'),
+                    AttemptOutcome.LOST,
+                    crash=CrashEvidence.ONLY_RECENT,
+                )
+                for attempt in attempts
+            ],
+            1.0,
+        )
+    )
+
+
+def show_running(
+    health: HealthTracker, attempt: AttemptKey, worker: str
+) -> None:
+    """Record a start as long before ``NOW_S`` as a trial takes."""
+    health.record_start(WorkerId(worker), attempt, NOW_S - RECENT_START_S)
+
+
+def plan_starts(
+    cell: StateFixture, health: HealthTracker | None = None
+) -> list[commands.AttemptStart]:
+    usable = frozenset(cell.state.worker_by_id) - {WorkerId('crashed')}
+    planner = Planner(
+        cell.state, AdvisorReplyCache(), health or HealthTracker()
+    )
+    groups = planner.plan(PlanningContext(usable, NOW_S, NOW_S)).start_groups
+    return [start for group in groups for start in group]
+
+
+def test_suspects_start_on_different_workers() -> None:
+    # Best fit had started them together again: one of them ended the others
+    # with each worker that returned.
+    cell = StateFixture('crashed', 'u', 'v', 'w', 'x')
+    for job in ('i', 'j'):
+        cell.submit(job, step_spec())
+        crash(cell, job, 0)
+    starts = plan_starts(cell)
+    assert len({start.worker for start in starts}) == 2
+
+
+def crash_three_jobs(*, is_loaded: bool) -> StateFixture:
+    """Return a cell of ten workers with three suspect tasks."""
+    names = [f'w{number}' for number in range(10)]
+    cell = StateFixture('crashed', *names)
+    cell.submit('load', step_spec(10, resources=HALF))
+    if is_loaded:
+        for number, name in enumerate(names):
+            cell.start((attempt_key('load', 0, number), name))
+    else:
+        cell.apply(commands.CancelJob(JobId('load'), 1.0))
+    for job in ('i', 'j', 'k'):
+        cell.submit(job, step_spec())
+        crash(cell, job, 0)
+    return cell
+
+
+def test_few_workers_of_a_loaded_cell_have_a_suspect_at_a_time() -> None:
+    # Suspects crashed the workers as fast as they returned.
+    cell = crash_three_jobs(is_loaded=True)
+    health = HealthTracker()
+    for worker in cell.state.worker_by_id.values():
+        for attempt in worker.resources_by_attempt:
+            show_running(health, attempt, worker.info.id)
+    (start,) = plan_starts(cell, health)
+    cell.start((start.attempt, start.worker))
+    assert not plan_starts(cell, health)
+    show_running(health, start.attempt, start.worker)
+    assert len(plan_starts(cell, health)) == 1
+
+
+def test_suspect_does_not_start_beside_a_task_that_has_just_started() -> None:
+    # The other task crashed the worker, and the suspect was blamed again.
+    cell = StateFixture('crashed', 'w')
+    cell.submit('other', step_spec())
+    other = attempt_key('other', 0, 0)
+    cell.start((other, 'w'))
+    health = HealthTracker()
+    health.record_start(WorkerId('w'), other, NOW_S)
+    cell.submit('j', step_spec())
+    crash(cell, 'j', 0)
+    cell.submit('later', step_spec(), accepted_at=5.0)
+    # The worker is kept free of further tasks meanwhile.
+    assert not plan_starts(cell, health)
+    settled = HealthTracker()
+    show_running(settled, other, 'w')
+    (start,) = plan_starts(cell, settled)
+    assert start.attempt.task.step.job == 'j'
+
+
+def test_suspects_do_not_wait_while_most_of_the_capacity_is_free() -> None:
+    starts = plan_starts(crash_three_jobs(is_loaded=False))
+    assert len({start.worker for start in starts}) == 3
+
+
+def test_suspect_starts_where_the_fewest_tasks_run() -> None:
+    cell = StateFixture('crashed', 'v', 'w')
+    cell.submit('sound', step_spec())
+    cell.start((attempt_key('sound', 0, 0), 'v'))
+    cell.submit('j', step_spec())
+    crash(cell, 'j', 0)
+    (start,) = plan_starts(cell)
+    assert start.worker == 'w'
+
+
+def test_other_tasks_avoid_a_worker_with_a_suspect() -> None:
+    cell = StateFixture('crashed', 'v', 'w')
+    cell.submit('j', step_spec())
+    crash(cell, 'j', 0)
+    cell.start((attempt_key('j', 0, 0, 2), 'v'))
+    cell.submit('sound', step_spec(5))
+    workers = [start.worker for start in plan_starts(cell)]
+    assert workers == ['w', 'w', 'w', 'w']
+
+
+def test_suspect_that_has_survived_is_no_danger_to_others() -> None:
+    cell = StateFixture('crashed', 'w', 'x')
+    cell.submit('j', step_spec())
+    crash(cell, 'j', 0)
+    attempt = attempt_key('j', 0, 0, 2)
+    cell.start((attempt, 'w'))
+    cell.submit('sound', step_spec())
+    health = HealthTracker()
+    assert plan_starts(cell, health)[0].worker == 'x'
+    show_running(health, attempt, 'w')
+    # Best fit again.
+    assert plan_starts(cell, health)[0].worker == 'w'
+
+
+def test_gang_with_a_suspect_starts_where_the_fewest_tasks_run() -> None:
+    cell = StateFixture('crashed', 'v', 'w')
+    cell.submit('sound', step_spec())
+    cell.start((attempt_key('sound', 0, 0), 'v'))
+    cell.submit('j', step_spec(2, is_gang=True))
+    crash(cell, 'j', 0)
+    assert [start.worker for start in plan_starts(cell)] == ['w', 'w']
+
+
+load_tests = function_tests(globals())
--- a/programs/cell/src/cassiahold/cell/attempt_ends.py
+++ b/programs/cell/src/cassiahold/cell/attempt_ends.py
@@ -45,14 +45,12 @@
         if checkpoint:
             self._checkpoint_by_attempt[attempt] = checkpoint
 
-    def record_crash(self, session: WorkerSession, now: float) -> None:
+    def record_crash(self, session: WorkerSession) -> None:
         """Weigh the crash of a worker's incarnation against its attempts."""
         worker = self._state.worker_by_id.get(session.info.id)
         if worker is None:
             return
-        evidence_by_attempt = session.weigh_crash(
-            worker.resources_by_attempt, now
-        )
+        evidence_by_attempt = session.weigh_crash(worker.resources_by_attempt)
         self._evidence_by_attempt.update(evidence_by_attempt)
         self._metrics.incr('worker_crashed')
         logs.info(
@@ -61,7 +59,7 @@
             born=session.info.incarnation,
             attempts=len(evidence_by_attempt),
             recent=sum(
-                evidence is CrashEvidence.RECENT
+                evidence >= CrashEvidence.RECENT
                 for evidence in evidence_by_attempt.values()
             ),
         )
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -135,7 +135,7 @@
             )
             if worker_id in self._crashed_workers:
                 self._crashed_workers.remove(worker_id)
-                self._attempt_ends.record_crash(session, now)
+                self._attempt_ends.record_crash(session)
             removals.append(
                 self._attempt_ends.end_command(
                     self._attempt_ends.lost_with_worker(session)
@@ -258,7 +258,7 @@
             self._mark_replaced(request.worker, now)
             return local.SessionClosed()
         if request.reply is None:
-            session.record_poll_failed(now)
+            session.record_poll_failed()
             return self._next_poll(session, now, max_wait_s=0.0)
         if request.reply.incarnation not in {0, session.info.incarnation}:
             return self._update_incarnation(session, request.reply.incarnation)
@@ -390,7 +390,7 @@
             ).expected_s,
         )
         if reply is None:
-            return self._handle_start_without_reply(session, request, now)
+            return self._handle_start_without_reply(session, request)
         self._metrics.incr(f'start.{reply.status.value}')
         session.record_clock(reply.clock_ms, now)
         if reply.status is ReplyStatus.DONE:
@@ -401,7 +401,7 @@
         return self._handle_refused_start(session, request.attempt, reply, now)
 
     def _handle_start_without_reply(
-        self, session: WorkerSession, request: local.StartDone, now: float
+        self, session: WorkerSession, request: local.StartDone
     ) -> requests.Acknowledged | Proposal:
         attempt = request.attempt
         if request.delivery is local.Delivery.POSSIBLE:
@@ -410,7 +410,7 @@
             self._stopper.stop_gang(attempt)
             return requests.Acknowledged()
         if request.delivery is local.Delivery.UNREACHABLE:
-            session.record_unreachable(now)
+            session.record_unreachable()
         return self._end_as_lost(session, attempt)
 
     def stop_done(
@@ -547,7 +547,7 @@
             and not previous_session.info.is_draining
             and info.id not in self._deregistered_at_by_worker
         ):
-            self._attempt_ends.record_crash(previous_session, now)
+            self._attempt_ends.record_crash(previous_session)
         self._fence_count += 1
         fence = self._term * MAX_FENCES_PER_TERM + self._fence_count
         session = WorkerSession(
--- a/programs/cell/tests/test_worker_crashes.py
+++ b/programs/cell/tests/test_worker_crashes.py
@@ -8,6 +8,7 @@
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.ids import WorkerId
 from cassiahold.core.testing import function_tests
+from cassiahold.workflows.crashes import CrashEvidence
 from cassiahold.workflows.model import JobState
 from cassiahold.workflows.sessions import RunningAttempt
 
@@ -99,7 +100,7 @@
         .steps_by_occurrence[0][0]
         .tasks
     )
-    assert task.crash_score == 2
+    assert task.crash_score == CrashEvidence.ONLY_RECENT
 
 
 def test_silence_and_departure_are_no_crashes() -> None:
