Simulate a cell in which some jobs crash their workers

How many sound jobs they give up depends on the share of crashing jobs and on the placement together.

Four policies get the same jobs: a counter to 2, a counter to 3, the score without separate placement, and the product. The first three count outside the state and cancel jobs, so that the planner sees no suspects; the product code has no switch for it.

--- /dev/null
+++ b/tools/bench/src/cassiahold/bench/experiments/crashing_jobs.py
@@ -0,0 +1,191 @@
+"""Jobs given up in a cell in which some tasks crash their workers."""
+
+import statistics
+import sys
+import typing
+
+import msgspec
+
+from cassiahold.bench.experiments.crashing_cell import (
+    CrashingCell,
+    CrashOutcome,
+    CrashPolicy,
+    JobClass,
+    generate_jobs,
+)
+from cassiahold.bench.experiments.results import (
+    BenchmarkResult,
+    expect_at_least,
+    expect_at_most,
+)
+from cassiahold.core.resources import Resources
+from cassiahold.workflows.crashes import MAX_CRASH_SCORE
+
+COUNTER_TO_TWO: typing.Final = CrashPolicy(name='counter to 2', max_score=2)
+COUNTER_TO_THREE: typing.Final = CrashPolicy(name='counter to 3', max_score=3)
+UNSEPARATED: typing.Final = CrashPolicy(
+    name='score, not apart', max_score=MAX_CRASH_SCORE, weighs_starts=True
+)
+PRODUCT: typing.Final = CrashPolicy(
+    name='product',
+    max_score=MAX_CRASH_SCORE,
+    weighs_starts=True,
+    is_in_state=True,
+)
+POLICIES: typing.Final = (
+    COUNTER_TO_TWO,
+    COUNTER_TO_THREE,
+    UNSEPARATED,
+    PRODUCT,
+)
+_PERCENT: typing.Final = 100
+
+_OutcomeByPolicy = dict[str, CrashOutcome]
+
+
+class CrashingJobsSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Sizes of the experiment and its targets.
+
+    Attributes:
+        cores_m: Millicores of a worker, which has twice as many MB of memory.
+        task_cores_m: Millicores of a task, with as many MB of memory.
+        max_tasks: Most tasks of a job; each number from 1 is as likely.
+        load: Share of the cores that the jobs would use without crashes.
+        job_classes: Queues and the jobs that are submitted to them.
+        crashing_shares: Shares of the jobs with a crashing task, ascending.
+        arrive_s: Time after which no more jobs arrive.
+        until_s: End of the simulation.
+        target_starts: Most starts of a crashing task.
+        target_given_up_part: Largest fraction of the sound jobs given up.
+    """
+
+    workers: int
+    cores_m: int
+    task_cores_m: int
+    max_tasks: int
+    load: float
+    job_classes: list[JobClass]
+    crashing_shares: list[float]
+    arrive_s: float
+    until_s: float
+    target_starts: float
+    target_given_up_part: float
+    seed: int
+
+
+def run(settings: CrashingJobsSettings) -> list[BenchmarkResult]:
+    """Compare policies for crashes at several shares of crashing jobs.
+
+    All policies get the same jobs.  The figures of every policy are printed.
+    """
+    outcomes_by_share = {
+        share: simulate_policies(settings, share)
+        for share in settings.crashing_shares
+    }
+    results: list[BenchmarkResult] = []
+    for share, outcomes in outcomes_by_share.items():
+        _print_outcomes(share, outcomes)
+        results.extend(_judge_share(settings, share, outcomes))
+    lowest_share = settings.crashing_shares[0]
+    outcomes = outcomes_by_share[lowest_share]
+    results.append(
+        expect_at_least(
+            f'sound jobs on time, {lowest_share:.0%} crashing',
+            _on_time_percent(outcomes[PRODUCT.name]),
+            _on_time_percent(outcomes[COUNTER_TO_TWO.name]),
+            '%',
+        )
+    )
+    return results
+
+
+def simulate_policies(
+    settings: CrashingJobsSettings,
+    crashing_share: float,
+    policies: typing.Iterable[CrashPolicy] = POLICIES,
+) -> _OutcomeByPolicy:
+    """Return the outcome of each policy for the same jobs, by its name."""
+    jobs = generate_jobs(
+        settings.job_classes,
+        settings.max_tasks,
+        _jobs_per_s(settings),
+        settings.arrive_s,
+        crashing_share,
+        settings.seed,
+    )
+    return {
+        policy.name: CrashingCell(
+            policy,
+            settings.workers,
+            Resources(settings.cores_m, 2 * settings.cores_m),
+            Resources(settings.task_cores_m, settings.task_cores_m),
+            settings.job_classes,
+        ).simulate(jobs, settings.until_s)
+        for policy in policies
+    }
+
+
+def _jobs_per_s(settings: CrashingJobsSettings) -> float:
+    mean_work_s = sum(
+        job_class.share * (job_class.min_work_s + job_class.max_work_s) / 2
+        for job_class in settings.job_classes
+    )
+    mean_tasks = (1 + settings.max_tasks) / 2
+    concurrent_tasks = (
+        settings.workers * settings.cores_m / settings.task_cores_m
+    )
+    return settings.load * concurrent_tasks / (mean_tasks * mean_work_s)
+
+
+def _judge_share(
+    settings: CrashingJobsSettings, share: float, outcomes: _OutcomeByPolicy
+) -> list[BenchmarkResult]:
+    return [
+        expect_at_most(
+            f'starts of a crashing task, worst, {share:.0%} crashing',
+            float(_most_starts(outcomes[PRODUCT.name])),
+            settings.target_starts,
+            'starts',
+            COUNTER_TO_THREE.name,
+            float(_most_starts(outcomes[COUNTER_TO_THREE.name])),
+        ),
+        expect_at_most(
+            f'sound jobs given up, {share:.0%} crashing',
+            _given_up_percent(outcomes[PRODUCT.name]),
+            settings.target_given_up_part * _PERCENT,
+            '%',
+            COUNTER_TO_THREE.name,
+            _given_up_percent(outcomes[COUNTER_TO_THREE.name]),
+        ),
+    ]
+
+
+def _print_outcomes(share: float, outcomes: _OutcomeByPolicy) -> None:
+    for name, outcome in outcomes.items():
+        sys.stdout.write(f'  {share:>4.0%} {name:<17} {describe(outcome)}\n')
+
+
+def describe(outcome: CrashOutcome) -> str:
+    """Return the figures of one simulated cell as a line of text."""
+    starts = list(outcome.crashing_starts.values()) or [0]
+    return (
+        f'sound: {outcome.sound_given_up} of {outcome.sound_jobs} given up '
+        f'({_given_up_percent(outcome):.2f}%), '
+        f'{_on_time_percent(outcome):.1f}% on time, '
+        f'{outcome.sound_unfinished} open; '
+        f'crashing: {len(outcome.crashing_starts)} jobs, '
+        f'starts {max(starts)} most, {statistics.fmean(starts):.2f} mean; '
+        f'{outcome.lost_worker_s:.0f} worker-s lost'
+    )
+
+
+def _most_starts(outcome: CrashOutcome) -> int:
+    return max(outcome.crashing_starts.values(), default=0)
+
+
+def _given_up_percent(outcome: CrashOutcome) -> float:
+    return outcome.sound_given_up / outcome.sound_jobs * _PERCENT
+
+
+def _on_time_percent(outcome: CrashOutcome) -> float:
+    return outcome.sound_on_time / outcome.sound_jobs * _PERCENT
--- a/tools/bench/src/cassiahold/bench/experiments/runner.py
+++ b/tools/bench/src/cassiahold/bench/experiments/runner.py
@@ -13,6 +13,7 @@
 
 from cassiahold.bench.experiments import (
     advised,
+    crashing_jobs,
     faulty_workers,
     live,
     packing,
@@ -36,6 +37,7 @@
     live: live.LiveSettings
     faulty_workers: faulty_workers.FaultyWorkersSettings
     advised: advised.AdvisedSettings
+    crashing_jobs: crashing_jobs.CrashingJobsSettings
 
 
 EXPERIMENT_BY_NAME: typing.Final[
@@ -48,6 +50,7 @@
     'live': live.run,
     'faulty_workers': faulty_workers.run,
     'advised': advised.run,
+    'crashing_jobs': crashing_jobs.run,
 }
 
 
--- /dev/null
+++ b/tools/bench/tests/test_crashing_cell.py
@@ -0,0 +1,75 @@
+"""Tests of the simulated cell in which some tasks crash their workers."""
+
+from cassiahold.bench.experiments.crashing_cell import (
+    RESTART_S,
+    CrashingCell,
+    CrashOutcome,
+    CrashPolicy,
+    GeneratedJob,
+    JobClass,
+    generate_jobs,
+)
+from cassiahold.bench.experiments.crashing_jobs import COUNTER_TO_TWO, PRODUCT
+from cassiahold.core.ids import JobId, QueueName
+from cassiahold.core.resources import Resources
+from cassiahold.core.testing import function_tests
+
+CHECKS = JobClass(
+    queue=QueueName('checks'),
+    priority=0,
+    share=1.0,
+    min_work_s=0.5,
+    max_work_s=1.0,
+    slack=3.0,
+)
+
+
+def jobs(crashing_share: float) -> list[GeneratedJob]:
+    return generate_jobs([CHECKS], 4, 5.0, 8.0, crashing_share, 1)
+
+
+def simulate(
+    policy: CrashPolicy, arriving: list[GeneratedJob], workers: int = 12
+) -> CrashOutcome:
+    cell = CrashingCell(
+        policy, workers, Resources(4000, 4000), Resources(1000, 1000), [CHECKS]
+    )
+    return cell.simulate(arriving, 30.0)
+
+
+def test_jobs_are_on_time_without_crashes() -> None:
+    outcome = simulate(PRODUCT, jobs(crashing_share=0.0))
+    assert outcome.sound_on_time == outcome.sound_jobs > 0
+    assert outcome.crashes == 0
+
+
+def test_larger_share_contains_the_crashing_jobs_of_a_smaller_one() -> None:
+    few, many = (
+        {job.id for job in jobs(share) if job.crashing_task is not None}
+        for share in (0.1, 0.5)
+    )
+    assert few < many
+    assert len(few) == round(0.1 * len(jobs(0.1)))
+
+
+def test_counter_gives_every_task_of_the_worker_up() -> None:
+    # On one worker, a long sound task meets each crash of the other job.
+    sound = GeneratedJob(JobId('sound'), CHECKS, 0.0, 1, 20.0)
+    crashing = GeneratedJob(JobId('crashing'), CHECKS, 0.1, 1, 1.0, 0)
+    outcome = simulate(COUNTER_TO_TWO, [sound, crashing], workers=1)
+    assert outcome.crashing_starts == {'crashing': 2}
+    assert outcome.sound_given_up == 1
+    assert outcome.lost_worker_s == 2 * RESTART_S
+
+
+def test_product_gives_only_crashing_jobs_up_if_they_are_few() -> None:
+    outcome = simulate(PRODUCT, jobs(crashing_share=0.05))
+    assert set(outcome.crashing_starts.values()) == {3}
+    assert outcome.sound_given_up == 0
+
+
+def test_equal_seeds_give_equal_results() -> None:
+    assert simulate(PRODUCT, jobs(0.3)) == simulate(PRODUCT, jobs(0.3))
+
+
+load_tests = function_tests(globals())
