Poll the workers of the simulated cell

Cause: the product times a crash by the worker's last reply, and the simulation knew only when its failure was noticed. Its workers are now polled once a second and at each end.

--- a/tools/bench/src/cassiahold/bench/experiments/crashing_cell.py
+++ b/tools/bench/src/cassiahold/bench/experiments/crashing_cell.py
@@ -50,6 +50,7 @@
 CRASH_DELAY_S: typing.Final = 0.01  # from a task's start to the crash
 NOTICE_DELAY_S: typing.Final = 0.02  # from a crash until polls fail
 RESTART_S: typing.Final = 3.0  # from a crash to the next incarnation
+POLL_INTERVAL_S: typing.Final = 1.0  # without an end in between
 SERVICE: typing.Final = ServiceName('desk')
 TEAM: typing.Final = TeamName('team')
 
@@ -135,10 +136,14 @@
 
 
 class _SimulatedWorker(msgspec.Struct):
-    """A worker process; ``failing_since`` is None while polls succeed."""
+    """A worker process; ``failing_since`` is None while polls succeed.
+
+    ``replied_at`` is when it last replied to a poll or a start.
+    """
 
     info: WorkerInfo
     is_running: bool = True
+    replied_at: float = 0.0
     failing_since: float | None = None
     running_attempts: set[AttemptKey] = msgspec.field(default_factory=set)
 
@@ -224,6 +229,7 @@
             )
             self._worker_by_id[info.id] = _SimulatedWorker(info)
             self._apply_command(commands.RegisterWorker(info))
+            self._poll_repeatedly(self._worker_by_id[info.id])
 
     def simulate(
         self, jobs: typing.Iterable[GeneratedJob], until_s: float
@@ -268,6 +274,22 @@
                     ),
                 )
 
+    # Polls.
+
+    def _poll_repeatedly(self, worker: _SimulatedWorker) -> None:
+        self._poll(worker)
+        self._schedule_event(
+            self._now + POLL_INTERVAL_S,
+            functools.partial(self._poll_repeatedly, worker),
+        )
+
+    def _poll(self, worker: _SimulatedWorker) -> None:
+        if not worker.is_running:
+            return
+        worker.replied_at = self._now
+        for attempt in worker.running_attempts:
+            self._health.record_progress(worker.info.id, attempt, 0, self._now)
+
     # Jobs and starts.
 
     def _submit_job(self, job: GeneratedJob) -> None:
@@ -322,6 +344,7 @@
             )
             return
         worker.running_attempts.add(start.attempt)
+        worker.replied_at = self._now
         self._health.record_start(start.worker, start.attempt, self._now)
         task = start.attempt.task
         job = self._job_by_id[task.step.job].job
@@ -350,6 +373,8 @@
         if attempt not in worker.running_attempts:
             return
         worker.running_attempts.remove(attempt)
+        # A poll waits at the worker for the next end.
+        self._poll(worker)
         duration_s = self._health.attempt_duration_s(attempt, self._now)
         self._store_ends(
             [
@@ -393,7 +418,7 @@
         evidence_by_attempt = crashes.weigh_crash(
             record.resources_by_attempt,
             self._sent_at_by_attempt,
-            worker.failing_since or self._now,
+            worker.replied_at,
         )
         worker.info = msgspec.structs.replace(
             worker.info, incarnation=worker.info.incarnation + 1
