Start nothing beside attempts that the state does not know

A worker could get more than it has room for: a start that was given up and then carried out late is stopped, but nothing is allocated for it, and what is being stopped still fills the worker.

A worker whose last poll listed such an attempt gets no start until a poll lists none. The test failed before: the start was sent.

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -103,6 +103,7 @@
         self._is_clock_known = False
         self._paused_until = now
         self.is_failing = False
+        self._has_unexpected_attempts = False
         self._alive_at = -math.inf
         self._start_by_attempt: dict[AttemptKey, _StartState] = {}
 
@@ -115,6 +116,7 @@
         """Tell whether new work may be sent to the worker."""
         return (
             not self.is_failing
+            and not self._has_unexpected_attempts
             and not self._is_silent(now)
             and now >= self._paused_until
             and not self.info.is_draining
@@ -264,6 +266,8 @@
                     attempt, is_first_reply, sent_at, findings
                 )
         findings.unexpected_attempts.extend(running_attempts - expected)
+        # They fill capacity that is not allocated.
+        self._has_unexpected_attempts = bool(findings.unexpected_attempts)
         for result in findings.results:
             self._start_by_attempt.pop(result.attempt, None)
         return findings
--- a/programs/cell/tests/test_worker_sessions.py
+++ b/programs/cell/tests/test_worker_sessions.py
@@ -238,6 +238,19 @@
     assert [start.worker.id for start in leader.sender.starts] == ['v']
 
 
+def test_attempts_of_no_known_start_leave_no_room_until_they_end() -> None:
+    # A start that was given up was carried out late and is being stopped.
+    leader = make_leader('w')
+    attempt = AttemptKey(TaskKey(StepKey(JobId('gone'), 0, 0), 0), 1)
+    leader.reply_to_poll('w', running=(RunningAttempt(attempt, '', 5),))
+    assert [stop.attempt for stop in leader.sender.stops] == [attempt]
+    submit(leader, '/q/1')
+    assert not leader.sender.starts
+    leader.reply_to_poll('w')
+    leader.apply_due_commands(boottime_s() + 1)
+    assert len(leader.sender.starts) == 1
+
+
 def start_gang(leader: LeaderFixture) -> list[StartRequest]:
     spec = WorkflowSpec(
         'payload', (StepSpec(2, Resources(2000, 10), is_gang=True),)
