Blame no start for a crash that was certainly not carried out

Cause: the removal of the worker was applied before the end of the refused start, and every allocated attempt counted as possibly running. A refused, unreachable or withdrawn start is now marked as such in the session and weighs nothing.

The test failed before: the task had a score of 4.

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -75,6 +75,7 @@
     sent_at: float = -math.inf
     confirmed_at: float | None = None
     has_no_reply: bool = False
+    is_refused: bool = False
     stop_confirmed_at: float | None = None
 
 
@@ -178,6 +179,12 @@
         if start is not None:
             start.has_no_reply = True
 
+    def record_start_refused(self, attempt: AttemptKey) -> None:
+        """Record that a start was certainly not carried out."""
+        start = self._start_by_attempt.get(attempt)
+        if start is not None:
+            start.is_refused = True
+
     def record_stop_confirmed(self, attempt: AttemptKey, now: float) -> None:
         """Record that the worker confirmed a stop.
 
@@ -226,7 +233,20 @@
             attempt: start.sent_at
             for attempt, start in self._start_by_attempt.items()
         }
-        return weigh_crash(attempts, sent_at_by_attempt, self._alive_at)
+        evidence_by_attempt = dict.fromkeys(attempts, CrashEvidence.NONE)
+        started = [
+            attempt
+            for attempt in evidence_by_attempt
+            if not self._is_refused(attempt)
+        ]
+        evidence_by_attempt.update(
+            weigh_crash(started, sent_at_by_attempt, self._alive_at)
+        )
+        return evidence_by_attempt
+
+    def _is_refused(self, attempt: AttemptKey) -> bool:
+        start = self._start_by_attempt.get(attempt)
+        return start is not None and start.is_refused
 
     def reconcile(
         self,
@@ -297,7 +317,7 @@
             return True
         if is_first_reply:
             return False
-        return any(
+        return start.is_refused or any(
             confirmed_at is not None and confirmed_at <= sent_at
             for confirmed_at in (start.confirmed_at, start.stop_confirmed_at)
         )
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -465,6 +465,7 @@
     def _end_as_lost(
         self, session: WorkerSession, attempt: AttemptKey
     ) -> Proposal:
+        session.record_start_refused(attempt)
         result = commands.AttemptResult(
             attempt, session.info.id, AttemptOutcome.LOST
         )
--- a/programs/cell/tests/test_worker_crashes.py
+++ b/programs/cell/tests/test_worker_crashes.py
@@ -103,6 +103,30 @@
     assert task.crash_score == CrashEvidence.ONLY_RECENT
 
 
+def test_start_that_was_refused_is_not_blamed_for_a_crash() -> None:
+    # Soak seed 3: another process had the worker's address already when the
+    # start of a sound task arrived, and the task was given up in the end.
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    replaced = local.StartDone(
+        start.worker.id,
+        start.fence,
+        start.attempt,
+        WorkerReply(ReplyStatus.REPLACED),
+    )
+    # The end of the start is proposed, but the removal is applied first.
+    leader.service.handle_request(replaced, boottime_s())
+    leader.apply_due_commands(boottime_s() + 1)
+    (task,) = (
+        leader.service.state.job_by_id[start.attempt.task.step.job]
+        .steps_by_occurrence[0][0]
+        .tasks
+    )
+    assert task.active_attempt is None
+    assert task.crash_score == 0
+
+
 def test_silence_and_departure_are_no_crashes() -> None:
     # A worker that was cut off, or that left, says nothing about its tasks.
     leader = make_leader('v', 'w')
