Try no suspect task on a worker that may have crashed unnoticed

Cause: a worker counted as settled by the time since its last start, whether it still replied or not. A suspect task now starts only where the worker has replied in the last 0.5 s; a poll replies once a second at the latest.

--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -75,13 +75,15 @@
 class PlanningContext(msgspec.Struct, frozen=True):
     """Inputs of a pass beside the replicated state.
 
-    ``usable_workers`` may get new work.  ``now`` is on the steady clock,
-    ``unix_time_s`` in seconds since 1970.
+    ``usable_workers`` may get new work; those in ``silent_workers`` have not
+    replied for a moment and may have crashed unnoticed.  ``now`` is on the
+    steady clock, ``unix_time_s`` in seconds since 1970.
     """
 
     usable_workers: frozenset[WorkerId]
     now: float
     unix_time_s: float
+    silent_workers: frozenset[WorkerId] = frozenset()
 
 
 class Planner:
@@ -123,6 +125,7 @@
         self._health = health
         self._now = context.now
         self._usable_workers = context.usable_workers
+        self._silent_workers = context.silent_workers
         self._planned_usage_by_team: dict[TeamName, Resources] = {}
         self._has_gang_reservation = False
         self._plan = Plan()
@@ -200,9 +203,11 @@
             self._query_for_tasks(candidate, allowed_count - len(workers))
 
     def _is_settled(self, worker: AvailableWorker) -> bool:
-        return not worker.planned_tasks_by_step and is_settled(
-            worker.record, self._health, self._now
-        )
+        if worker.planned_tasks_by_step:
+            return False
+        if worker.info.id in self._silent_workers:
+            return False
+        return is_settled(worker.record, self._health, self._now)
 
     def _place_tasks(self, candidate: Candidate, tasks: list[int]) -> None:
         allowed_count = self._count_within_limit(candidate, len(tasks))
--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -15,7 +15,11 @@
 import msgspec
 
 from cassiahold.workflows.commands import AttemptResult
-from cassiahold.workflows.crashes import CrashEvidence, weigh_crash
+from cassiahold.workflows.crashes import (
+    RECENT_START_S,
+    CrashEvidence,
+    weigh_crash,
+)
 from cassiahold.workflows.model import AttemptKey, AttemptOutcome, WorkerInfo
 
 MAX_CLOCK_DRIFT: typing.Final = 0.02  # a worker's clock runs at most 2% slow
@@ -113,6 +117,10 @@
         """Tell whether the worker has replied to a poll with this fence."""
         return self.last_reply_at is not None
 
+    def has_just_replied(self, now: float) -> bool:
+        """Tell whether the worker was certainly alive a moment ago."""
+        return now < self._alive_at + RECENT_START_S
+
     def is_usable(self, now: float) -> bool:
         """Tell whether new work may be sent to the worker."""
         return (
--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -178,6 +178,7 @@
                 leader_state.worker_sessions.usable_workers(now),
                 now,
                 time.time(),
+                leader_state.worker_sessions.silent_workers(now),
             )
         )
         self._metrics.timing('plan', (boottime_s() - now) * _MS)
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -100,6 +100,14 @@
         held_back = self.health.held_back_workers(usable.values(), now)
         return frozenset(usable) - held_back
 
+    def silent_workers(self, now: float) -> frozenset[WorkerId]:
+        """Return the workers that have not replied for a moment."""
+        return frozenset(
+            worker_id
+            for worker_id, session in self._session_by_worker.items()
+            if not session.has_just_replied(now)
+        )
+
     def due_commands(self, now: float) -> list[commands.Command]:
         """Return the commands that end unsent starts and remove workers."""
         due = self._removal_commands(now)
