Bound the trials of suspect tasks by service

A suspect task waited while most of its service's capacity was free: the load and the trials of all services were added up, so a full service held the limit at a tenth of the workers and its own suspects, if more urgent, used it up.

The new test failed before. The load and the trials of a suspect's own service now count; a cell with one service behaves as before.

--- a/libs/workflows/src/cassiahold/workflows/available_workers.py
+++ b/libs/workflows/src/cassiahold/workflows/available_workers.py
@@ -119,11 +119,13 @@
         selected = (self._worker_by_id.get(worker_id) for worker_id in workers)
         return [worker for worker in selected if worker is not None]
 
-    def remaining_trials(self) -> int:
-        """Return on how many more workers a suspect task may start."""
-        records = [worker.record for worker in self._ordered]
-        trial_count = sum(worker.has_trial for worker in self._ordered)
-        return trial_limit(records) - trial_count
+    def remaining_trials(self, service: str) -> int:
+        """Return on how many more of its workers a suspect task may start."""
+        workers = [
+            worker for worker in self._ordered if worker.info.service == service
+        ]
+        trial_count = sum(worker.has_trial for worker in workers)
+        return trial_limit([worker.record for worker in workers]) - trial_count
 
     def all_workers(self) -> list[AvailableWorker]:
         """Return every usable worker, those with most free cores first."""
--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -181,7 +181,7 @@
         A worker on which other tasks have just started is kept free of further
         ones until it can take the suspect task.
         """
-        trial_count = min(len(tasks), self._capacity_index.remaining_trials())
+        trial_count = min(len(tasks), self._remaining_trials(candidate))
         if trial_count <= 0:
             return
         allowed_count = self._count_within_limit(candidate, trial_count)
@@ -202,6 +202,9 @@
         if len(workers) < allowed_count:
             self._query_for_tasks(candidate, allowed_count - len(workers))
 
+    def _remaining_trials(self, candidate: Candidate) -> int:
+        return self._capacity_index.remaining_trials(candidate.queue.service)
+
     def _is_settled(self, worker: AvailableWorker) -> bool:
         if worker.planned_tasks_by_step:
             return False
@@ -363,7 +366,7 @@
         workers = self._eligible_workers(candidate)
         records = candidate.record.step(candidate.key).tasks
         if any(is_suspect(task.crash_score) for task in records):
-            if self._capacity_index.remaining_trials() <= 0:
+            if self._remaining_trials(candidate) <= 0:
                 return
             workers.sort(key=lambda worker: isolation_rank(candidate, worker))
         if _task_capacity(candidate, workers) >= task_count:
--- a/libs/workflows/src/cassiahold/workflows/suspects.py
+++ b/libs/workflows/src/cassiahold/workflows/suspects.py
@@ -13,7 +13,7 @@
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import WorkerRecord
 
-# Of the usable workers; at least one may have a trial.
+# Of the usable workers of a service; at least one may have a trial.
 MAX_TRIAL_SHARE: typing.Final = 0.1
 # While less of the capacity is allocated, crashes cost little and no task that
 # could run should wait.
@@ -21,7 +21,7 @@
 
 
 def trial_limit(workers: typing.Collection[WorkerRecord]) -> int:
-    """Return how many of the usable workers may have a trial."""
+    """Return how many of a service's usable workers may have a trial."""
     capacity_m = sum(worker.info.capacity.cores_m for worker in workers)
     allocated_m = sum(worker.allocated.cores_m for worker in workers)
     if allocated_m < capacity_m * LIGHT_LOAD_SHARE:
--- a/libs/workflows/tests/test_suspects.py
+++ b/libs/workflows/tests/test_suspects.py
@@ -1,8 +1,16 @@
 """Tests of the placement of tasks that may crash their workers."""
 
-from state_fixtures import StateFixture, attempt_key, step_spec
-
-from cassiahold.core.ids import JobId, WorkerId
+import msgspec
+from state_fixtures import (
+    StateFixture,
+    attempt_key,
+    configuration,
+    queue_policy,
+    step_spec,
+    worker_info,
+)
+
+from cassiahold.core.ids import JobId, ServiceName, WorkerId
 from cassiahold.core.resources import Resources
 from cassiahold.core.testing import function_tests
 from cassiahold.workflows import commands
@@ -133,6 +141,38 @@
     assert len({start.worker for start in starts}) == 3
 
 
+def test_load_of_one_service_does_not_hold_back_suspects_of_another() -> None:
+    # The other service had most of its capacity free, and its suspects waited
+    # for the trials of the full one.
+    idle_queue = msgspec.structs.replace(
+        queue_policy('idle'), service=ServiceName('idle')
+    )
+    config = configuration(queue_policy(), idle_queue)
+    cell = StateFixture('crashed', 'v', 'w', 'x', config=config)
+    for name in ('y', 'z'):
+        info = msgspec.structs.replace(worker_info(name), service='idle')
+        cell.apply(commands.RegisterWorker(info))
+    health = HealthTracker()
+    cell.submit('load', step_spec(5, resources=HALF))
+    for task, worker in enumerate('vvwwx'):
+        attempt = attempt_key('load', 0, task)
+        cell.start((attempt, worker))
+        show_running(health, attempt, worker)
+    cell.submit('busy', step_spec())
+    crash(cell, 'busy', 0)
+    cell.submit('i', step_spec(), queue='idle', accepted_at=1.0)
+    cell.start((attempt_key('i', 0, 0), 'crashed'))
+    crash_of_idle = commands.AttemptResult(
+        attempt_key('i', 0, 0),
+        WorkerId('crashed'),
+        AttemptOutcome.LOST,
+        crash=CrashEvidence.ONLY_RECENT,
+    )
+    cell.apply(commands.EndAttempts([crash_of_idle], 1.0))
+    starts = plan_starts(cell, health)
+    assert {start.attempt.task.step.job for start in starts} >= {'busy', 'i'}
+
+
 def test_suspect_starts_where_the_fewest_tasks_run() -> None:
     cell = StateFixture('crashed', 'v', 'w')
     cell.submit('sound', step_spec())
