Count a crash that the repeated start meets

A task that crashes its worker could be started again without that crash counted: the first try of its start got no reply, the worker returned within the 2 s in which a start is tried again, and the next try was answered 421. The refusal ended the attempt as lost, before the removal of the worker could charge the crash to it.

The new test failed before. The result of the tries now keeps whether an earlier one may have arrived; if so the attempt ends with the worker, whose removal carries the evidence. A start that was refused at its first try still ends at once, without evidence.

--- a/programs/cell/src/cassiahold/cell/local_requests.py
+++ b/programs/cell/src/cassiahold/cell/local_requests.py
@@ -17,10 +17,10 @@
 
 
 class Delivery(enum.Enum):
-    """Whether a request without a reply may have arrived at the worker.
+    """Whether the tries without a reply may have arrived at the worker.
 
-    ``UNREACHABLE`` means that no try could connect, ``NOT_SENT`` that the
-    request was withdrawn before the first try.
+    ``UNREACHABLE`` means that no try could connect, ``NOT_SENT`` that no
+    try was without a reply, mostly as the request was withdrawn before.
     """
 
     POSSIBLE = 'possible'
--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -280,7 +280,7 @@
                 outcome.delivery = local.Delivery.UNREACHABLE
             continue
         if _is_conclusive(reply, outcome.delivery):
-            return _CallOutcome(reply, local.Delivery.POSSIBLE)
+            return _CallOutcome(reply, outcome.delivery)
         logs.info('order_inconclusive', answer=reply.status.value)
         break
     return outcome
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -406,7 +406,7 @@
             self.health.record_start(request.worker, request.attempt, now)
             self.timelines.record_start(request.attempt.task.step.job, now)
             return requests.Acknowledged()
-        return self._handle_refused_start(session, request.attempt, reply, now)
+        return self._handle_refused_start(session, request, reply, now)
 
     def _handle_start_without_reply(
         self, session: WorkerSession, request: local.StartDone
@@ -456,14 +456,19 @@
     def _handle_refused_start(
         self,
         session: WorkerSession,
-        attempt: AttemptKey,
+        request: local.StartDone,
         reply: WorkerReply,
         now: float,
-    ) -> Proposal:
+    ) -> requests.Acknowledged | Proposal:
+        attempt = request.attempt
         if reply.status is ReplyStatus.UNHEALTHY:
             session.pause(now)
         if reply.status is ReplyStatus.REPLACED:
             self._mark_replaced(session.info.id, now)
+            if request.delivery is local.Delivery.POSSIBLE:
+                # An earlier try may have started it before the crash; it
+                # ends with the worker, whose removal counts the crash.
+                return requests.Acknowledged()
         if reply.status is ReplyStatus.NO_TICKET:
             self._advisor_replies.drop_ticket(
                 attempt.task.step, session.info.id
--- a/programs/cell/tests/test_worker_crashes.py
+++ b/programs/cell/tests/test_worker_crashes.py
@@ -114,6 +114,7 @@
         start.fence,
         start.attempt,
         WorkerReply(ReplyStatus.REPLACED),
+        local.Delivery.NOT_SENT,
     )
     # The end of the start is proposed, but the removal is applied first.
     leader.service.handle_request(replaced, boottime_s())
@@ -145,6 +146,47 @@
     assert scores == [0, 0]
 
 
+def crash_score(leader: LeaderFixture, start: StartRequest) -> int:
+    (task,) = (
+        leader.service.state.job_by_id[start.attempt.task.step.job]
+        .steps_by_occurrence[0][0]
+        .tasks
+    )
+    return task.crash_score
+
+
+def test_crash_is_seen_when_the_start_is_sent_again_after_it() -> None:
+    # The first try started the task and got no reply; the next one met the
+    # process that had taken the address of the crashed worker.
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    replaced = WorkerReply(ReplyStatus.REPLACED)
+    leader.handle(
+        local.StartDone(start.worker.id, start.fence, start.attempt, replaced)
+    )
+    leader.apply_due_commands(boottime_s() + 1)
+    assert crash_score(leader, start) == CrashEvidence.ONLY_RECENT
+
+
+def test_refused_start_is_no_crash_of_its_task() -> None:
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    replaced = WorkerReply(ReplyStatus.REPLACED)
+    leader.handle(
+        local.StartDone(
+            start.worker.id,
+            start.fence,
+            start.attempt,
+            replaced,
+            local.Delivery.NOT_SENT,
+        )
+    )
+    leader.apply_due_commands(boottime_s() + 1)
+    assert not crash_score(leader, start)
+
+
 def test_sound_task_survives_two_crashes_of_others() -> None:
     leader = make_leader('w')
     submit(leader, '/q/1')
