Count no crash when a worker that left returns under its id

Crash scores rose after graceful departures: of a worker that was draining or had deregistered and came back under its id before it was removed, the attempts ended as lost with an older incarnation, which counts as a crash that an earlier leader saw.

Two new tests failed before. A departure is now noted as no evidence when the next session opens, so the rule for earlier leaders doesn't apply. A crash that was noted by a refused start before the worker registered again now keeps its full evidence. A leader that has not seen the departure still counts it.

--- a/programs/cell/src/cassiahold/cell/attempt_ends.py
+++ b/programs/cell/src/cassiahold/cell/attempt_ends.py
@@ -64,6 +64,15 @@
             ),
         )
 
+    def record_departure(self, session: WorkerSession) -> None:
+        """Note that no attempt of a worker that left ends with a crash."""
+        worker = self._state.worker_by_id.get(session.info.id)
+        if worker is not None:
+            for attempt in worker.resources_by_attempt:
+                self._evidence_by_attempt.setdefault(
+                    attempt, CrashEvidence.NONE
+                )
+
     def lost_with_worker(
         self, session: WorkerSession
     ) -> list[commands.AttemptResult]:
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -556,12 +556,14 @@
 
     def _open_session(self, info: WorkerInfo, now: float) -> None:
         previous_session = self._session_by_worker.get(info.id)
-        if (
-            previous_session is not None
-            and not previous_session.info.is_draining
-            and info.id not in self._deregistered_at_by_worker
-        ):
-            self._attempt_ends.record_crash(previous_session)
+        if previous_session is not None:
+            if info.id in self._crashed_workers or not (
+                previous_session.info.is_draining
+                or info.id in self._deregistered_at_by_worker
+            ):
+                self._attempt_ends.record_crash(previous_session)
+            else:
+                self._attempt_ends.record_departure(previous_session)
         self._fence_count += 1
         fence = self._term * MAX_FENCES_PER_TERM + self._fence_count
         session = WorkerSession(
--- a/programs/cell/tests/test_worker_crashes.py
+++ b/programs/cell/tests/test_worker_crashes.py
@@ -187,6 +187,28 @@
     assert not crash_score(leader, start)
 
 
+def score_after_return(leader: LeaderFixture) -> int:
+    """Let ``w`` return under its id; return the crash score of its task."""
+    (start,) = leader.sender.starts
+    leader.send_heartbeat('w', incarnation=2)
+    leader.reply_to_poll('w', incarnation=2)
+    return crash_score(leader, start)
+
+
+def test_departure_is_no_crash_when_the_worker_returns_under_its_id() -> None:
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    leader.handle(requests.WorkerLeft(WorkerId('w'), 1))
+    assert not score_after_return(leader)
+
+
+def test_draining_worker_that_returns_under_its_id_has_not_crashed() -> None:
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    leader.send_heartbeat('w', sequence=2, is_draining=True)
+    assert not score_after_return(leader)
+
+
 def test_sound_task_survives_two_crashes_of_others() -> None:
     leader = make_leader('w')
     submit(leader, '/q/1')
