Isolate tasks that one more crash would end, and clear those that run on

Sound jobs were shown as failed, and sound tasks waited beside free capacity, in the simulation crashing_jobs at 20% and 40% of jobs that crash workers.

Cause, from the simulation's events: each of these sound tasks met four or five crashes long after its own start had settled (evidence PRESENT), mostly beside the trial of another task. Trials go to the workers with the fewest tasks, where a blamed task had just survived its own trial. Such a task was then tried apart again and again, behind those that do crash their workers.

A task from which one more crash may take its job (score 6 or more) now starts only where nothing is recent, and nothing starts beside it until it has ended (a long-running one: 30 s), on at most half of a service's workers and not where work fits nowhere else. A new suspect_score, the last field of the task's record, falls to 0 when an attempt had run for 0.5 s before the crash; such a task is tried apart no more. While much of the capacity is free, a tenth of the workers is kept for suspects and the least suspect start first. The crash score is unchanged, so no task starts a sixth time after five crashes.

--- a/libs/workflows/src/cassiahold/workflows/allocations.py
+++ b/libs/workflows/src/cassiahold/workflows/allocations.py
@@ -7,7 +7,17 @@
 
 from cassiahold.core.ids import TeamName, WorkerId
 from cassiahold.core.resources import NO_RESOURCES, Resources
-from cassiahold.workflows.model import AttemptKey, WorkerRecord
+from cassiahold.workflows.crashes import (
+    is_last_start,
+    is_suspect,
+    isolation_s,
+)
+from cassiahold.workflows.model import (
+    AttemptKey,
+    StepSpec,
+    TaskRecord,
+    WorkerRecord,
+)
 
 
 class AllocationLedger:
@@ -31,19 +41,20 @@
         team: TeamName,
         attempt: AttemptKey,
         worker_id: WorkerId,
-        resources: Resources,
-        *,
-        is_suspect: bool,
+        spec: StepSpec,
+        task: TaskRecord,
     ) -> None:
-        """Allocate resources of a worker to an attempt.
-
-        ``is_suspect`` marks an attempt of a task that may crash its worker.
-        """
+        """Allocate resources of a worker to an attempt of a task."""
         worker = self._worker_by_id[worker_id]
+        resources = spec.resources
         worker.allocated += resources
         worker.resources_by_attempt[attempt] = resources
-        if is_suspect:
+        if is_suspect(task):
             worker.suspect_attempts.add(attempt)
+        if is_last_start(task):
+            worker.isolation_s_by_attempt[attempt] = isolation_s(
+                is_long_running=spec.is_long_running
+            )
         self._allocated_by_team[team] = self.usage_of(team) + resources
 
     def release(
@@ -54,4 +65,5 @@
         resources = worker.resources_by_attempt.pop(attempt)
         worker.allocated -= resources
         worker.suspect_attempts.discard(attempt)
+        worker.isolation_s_by_attempt.pop(attempt, None)
         self._allocated_by_team[team] = self.usage_of(team) - resources
--- a/libs/workflows/src/cassiahold/workflows/attempt_results.py
+++ b/libs/workflows/src/cassiahold/workflows/attempt_results.py
@@ -6,6 +6,7 @@
     MAX_CRASH_SCORE,
     PROVEN_RUN_S,
     CrashEvidence,
+    count_crash,
 )
 from cassiahold.workflows.model import (
     AttemptOutcome,
@@ -126,8 +127,9 @@
 ) -> FailureReason | None:
     if spec.is_long_running and result.duration_s >= PROVEN_RUN_S:
         task.crash_score = 0
+        task.suspect_score = 0
         return None
-    task.crash_score += result.crash
+    count_crash(task, result.crash, result.duration_s)
     if task.crash_score >= MAX_CRASH_SCORE:
         return FailureReason.CRASHES
     return None
--- a/libs/workflows/src/cassiahold/workflows/available_workers.py
+++ b/libs/workflows/src/cassiahold/workflows/available_workers.py
@@ -14,7 +14,12 @@
 from cassiahold.core.resources import NO_RESOURCES, Resources
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import StepKey, WorkerInfo, WorkerRecord
-from cassiahold.workflows.suspects import has_trial, trial_limit
+from cassiahold.workflows.suspects import (
+    has_light_load,
+    has_trial,
+    loaded_trial_limit,
+    trial_limit,
+)
 from cassiahold.workflows.urgency import Candidate
 
 SPEED_RESOLUTION: typing.Final = 0.25  # speeds this close count as equal
@@ -64,12 +69,7 @@
 
     def is_eligible_for(self, candidate: Candidate) -> bool:
         """Tell whether the worker has a step's service and label."""
-        spec = candidate.spec
-        if self.info.service != candidate.queue.service:
-            return False
-        return (
-            not spec.required_label or spec.required_label in self.info.labels
-        )
+        return is_eligible(candidate, self.info)
 
     def count_fitting_tasks(self, candidate: Candidate) -> int:
         """Return how many more tasks of a step fit."""
@@ -119,14 +119,27 @@
         selected = (self._worker_by_id.get(worker_id) for worker_id in workers)
         return [worker for worker in selected if worker is not None]
 
+    def has_light_load(self, service: str) -> bool:
+        """Tell whether much of the capacity of a service is free."""
+        return has_light_load(
+            worker.record for worker in self._workers_of(service)
+        )
+
     def remaining_trials(self, service: str) -> int:
         """Return on how many more of its workers a suspect task may start."""
-        workers = [
-            worker for worker in self._ordered if worker.info.service == service
-        ]
+        workers = self._workers_of(service)
         trial_count = sum(worker.has_trial for worker in workers)
         return trial_limit([worker.record for worker in workers]) - trial_count
 
+    def kept_worker_limit(self, service: str) -> int:
+        """Return how many workers may be kept for trials of a service."""
+        return loaded_trial_limit(len(self._workers_of(service)))
+
+    def _workers_of(self, service: str) -> list[AvailableWorker]:
+        return [
+            worker for worker in self._ordered if worker.info.service == service
+        ]
+
     def all_workers(self) -> list[AvailableWorker]:
         """Return every usable worker, those with most free cores first."""
         return self._ordered
@@ -174,6 +187,14 @@
     )
 
 
+def is_eligible(candidate: Candidate, worker: WorkerInfo) -> bool:
+    """Tell whether a worker has a step's service and label."""
+    required_label = candidate.spec.required_label
+    if worker.service != candidate.queue.service:
+        return False
+    return not required_label or required_label in worker.labels
+
+
 def isolation_rank(
     candidate: Candidate, worker: AvailableWorker
 ) -> tuple[int, _PlacementRank]:
--- a/libs/workflows/src/cassiahold/workflows/crashes.py
+++ b/libs/workflows/src/cassiahold/workflows/crashes.py
@@ -10,13 +10,13 @@
 import math
 import typing
 
-from cassiahold.workflows.model import AttemptKey
+from cassiahold.workflows.model import AttemptKey, TaskRecord
 
 # A task that crashes its worker mostly does so soon after its start.
 RECENT_START_S: typing.Final = 0.5
 # No task starts a sixth time after five crashes, whatever the evidence.
 MAX_CRASH_SCORE: typing.Final = 10
-# From this score on a task starts apart from other recent starts.
+# From this suspect score on a task starts apart from other recent starts.
 SUSPECT_CRASH_SCORE: typing.Final = 3
 # A long-running task that has run this long did not crash its worker.
 PROVEN_RUN_S: typing.Final = 30.0
@@ -37,6 +37,12 @@
     ONLY_RECENT = 4
 
 
+# From this score on one more crash may reach the limit.
+LAST_START_CRASH_SCORE: typing.Final = (
+    MAX_CRASH_SCORE - CrashEvidence.ONLY_RECENT
+)
+
+
 def weigh_crash(
     attempts: typing.Iterable[AttemptKey],
     sent_at_by_attempt: typing.Mapping[AttemptKey, float],
@@ -68,6 +74,35 @@
     return evidence_by_attempt
 
 
-def is_suspect(crash_score: int) -> bool:
-    """Tell whether a task may well be the cause of a worker's crash."""
-    return crash_score >= SUSPECT_CRASH_SCORE
+def count_crash(
+    task: TaskRecord, evidence: CrashEvidence, run_s: float
+) -> None:
+    """Add the evidence of a crash to the scores of a task.
+
+    ``run_s`` is how long the attempt had run, 0 if unknown.  One that was not
+    recent has survived its trial, so the task is no suspect any more.
+    """
+    task.crash_score += evidence
+    if evidence is CrashEvidence.PRESENT and run_s >= RECENT_START_S:
+        task.suspect_score = 0
+    else:
+        task.suspect_score += evidence
+
+
+def is_suspect(task: TaskRecord) -> bool:
+    """Tell whether a task starts apart from other recent starts."""
+    return task.suspect_score >= SUSPECT_CRASH_SCORE or is_last_start(task)
+
+
+def is_last_start(task: TaskRecord) -> bool:
+    """Tell whether the next crash may be the last one of a task."""
+    return task.crash_score >= LAST_START_CRASH_SCORE
+
+
+def isolation_s(*, is_long_running: bool) -> float:
+    """Return how long nothing else starts beside the last start of a task.
+
+    The task is not to meet the crash of another one.  A long-running task is
+    cleared by a long run, others by their end.
+    """
+    return PROVEN_RUN_S if is_long_running else math.inf
--- a/libs/workflows/src/cassiahold/workflows/model.py
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -138,7 +138,8 @@
 
     ``last_attempt_number`` is the highest number used so far, ``checkpoint``
     the newest one that an attempt left behind.  ``crash_score`` adds up the
-    evidence that the task crashes its workers.
+    evidence that the task crashes its workers, ``suspect_score`` that since an
+    attempt last ran for a while.
     """
 
     is_done: bool = False
@@ -147,6 +148,7 @@
     checkpoint: str = ''
     active_attempt: AttemptRecord | None = None
     crash_score: int = 0
+    suspect_score: int = 0
 
 
 class StepRecord(msgspec.Struct, array_like=True):
@@ -215,7 +217,9 @@
 class WorkerRecord(msgspec.Struct):
     """A known worker and the attempts that may be running on it.
 
-    ``suspect_attempts`` are those of tasks that may crash their worker.
+    ``suspect_attempts`` are those of tasks that may crash their worker,
+    ``isolation_s_by_attempt`` tells beside which attempts and for how long
+    after their start nothing else is to start.
     ``sequence`` is that of the newest heartbeat in the log, 0 if unknown.
     """
 
@@ -226,6 +230,9 @@
     )
     speed_estimate: SpeedEstimate = msgspec.field(default_factory=SpeedEstimate)
     suspect_attempts: set[AttemptKey] = msgspec.field(default_factory=set)
+    isolation_s_by_attempt: dict[AttemptKey, float] = msgspec.field(
+        default_factory=dict
+    )
     sequence: int = 0
 
     def is_newer_than(self, info: WorkerInfo, sequence: int | None) -> bool:
--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -16,6 +16,7 @@
 """
 
 import bisect
+import collections
 import functools
 import itertools
 import math
@@ -33,18 +34,19 @@
     AvailableWorker,
     CapacityIndex,
     count_fitting,
+    is_eligible,
     isolation_rank,
     placement_rank,
     query_rank,
 )
 from cassiahold.workflows.commands import AttemptStart
 from cassiahold.workflows.configuration import QueuePolicy
-from cassiahold.workflows.crashes import is_suspect
+from cassiahold.workflows.crashes import is_last_start, is_suspect
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import AttemptKey, StepKey, TaskKey, WorkerInfo
 from cassiahold.workflows.state import WorkflowState
 from cassiahold.workflows.steps import startable_tasks
-from cassiahold.workflows.suspects import is_settled
+from cassiahold.workflows.suspects import is_settled, isolated_workers
 from cassiahold.workflows.urgency import Backlog, Candidate
 
 # More workers than a gang needs, since more urgent work may take some of them.
@@ -110,6 +112,11 @@
         ).run(candidates)
 
 
+class _PostponedTasks(msgspec.Struct):
+    candidate: Candidate
+    tasks: list[int] = msgspec.field(default_factory=list)
+
+
 class _PlanningPass:
     """One pass; deducts the resources of each start that it plans."""
 
@@ -128,6 +135,11 @@
         self._silent_workers = context.silent_workers
         self._planned_usage_by_team: dict[TeamName, Resources] = {}
         self._has_gang_reservation = False
+        self._postponed_by_score: collections.defaultdict[
+            int, dict[StepKey, _PostponedTasks]
+        ] = collections.defaultdict(dict)
+        self._kept_workers: list[AvailableWorker] = []
+        self._closed_workers_by_step: dict[StepKey, frozenset[WorkerId]] = {}
         self._plan = Plan()
 
     @functools.cached_property
@@ -143,6 +155,15 @@
             self._now,
         )
 
+    @functools.cached_property
+    def _isolated_workers(self) -> frozenset[WorkerId]:
+        return isolated_workers(
+            self._state.worker_by_id.values(),
+            self._usable_workers,
+            self._health,
+            self._now,
+        )
+
     def run(self, candidates: list[Candidate]) -> Plan:
         """Place the tasks of every candidate or query its advisor."""
         for candidate in candidates:
@@ -153,6 +174,7 @@
                 self._place_gang(candidate, tasks)
             else:
                 self._place_step(candidate, tasks)
+        self._place_postponed_suspects()
         return self._plan
 
     def _awaits_first_reply(self, candidate: Candidate) -> bool:
@@ -166,27 +188,86 @@
 
     def _place_step(self, candidate: Candidate, tasks: list[int]) -> None:
         records = candidate.record.step(candidate.key).tasks
-        suspects = [
-            index for index in tasks if is_suspect(records[index].crash_score)
-        ]
+        suspects = [index for index in tasks if is_suspect(records[index])]
         if suspects:
             tasks = [index for index in tasks if index not in suspects]
-            self._place_suspects(candidate, suspects)
+            if self._capacity_index.has_light_load(candidate.queue.service):
+                self._postpone_suspects(candidate, suspects)
+            else:
+                self._place_suspects(candidate, suspects)
         if tasks:
             self._place_tasks(candidate, tasks)
 
+    def _postpone_suspects(
+        self, candidate: Candidate, tasks: list[int]
+    ) -> None:
+        """Place suspect tasks at the end of the pass, on few kept workers.
+
+        Beyond those they take what other work leaves free.
+        """
+        records = candidate.record.step(candidate.key).tasks
+        for task in tasks:
+            tasks_by_step = self._postponed_by_score[
+                records[task].suspect_score
+            ]
+            tasks_by_step.setdefault(
+                candidate.key, _PostponedTasks(candidate)
+            ).tasks.append(task)
+        kept_count = min(
+            self._count_trials(candidate, tasks),
+            self._count_keepable_workers(candidate.queue.service),
+        )
+        if kept_count > 0:
+            self._keep_workers(self._trial_workers(candidate)[:kept_count])
+
+    def _count_keepable_workers(self, service: str) -> int:
+        kept_count = sum(
+            worker.info.service == service for worker in self._kept_workers
+        )
+        return self._capacity_index.kept_worker_limit(service) - kept_count
+
+    def _keep_workers(self, workers: list[AvailableWorker]) -> None:
+        for worker in workers:
+            worker.has_trial = True
+        self._kept_workers.extend(workers)
+
+    def _place_postponed_suspects(self) -> None:
+        """Start the least suspect tasks first.
+
+        Most of them were only near to a task that crashes its workers.
+        """
+        for worker in self._kept_workers:
+            worker.has_trial = False
+        for _, tasks_by_step in sorted(self._postponed_by_score.items()):
+            for postponed in tasks_by_step.values():
+                self._place_suspects(postponed.candidate, postponed.tasks)
+
     def _place_suspects(self, candidate: Candidate, tasks: list[int]) -> None:
         """Start tasks that may crash their workers, each on another worker.
 
         A worker on which other tasks have just started is kept free of further
         ones until it can take the suspect task.
         """
+        trial_count = self._count_trials(candidate, tasks)
+        if not trial_count:
+            return
+        workers = self._trial_workers(candidate)
+        for task, worker in zip(tasks[:trial_count], workers, strict=False):
+            if self._is_settled(worker):
+                start = self._assign_task(candidate, task, worker)
+                self._plan.start_groups.append([start])
+            worker.has_trial = True
+        if len(workers) < trial_count:
+            self._query_for_tasks(candidate, trial_count - len(workers))
+
+    def _count_trials(self, candidate: Candidate, tasks: list[int]) -> int:
+        """Return how many of some suspect tasks may start in this pass."""
         trial_count = min(len(tasks), self._remaining_trials(candidate))
         if trial_count <= 0:
-            return
-        allowed_count = self._count_within_limit(candidate, trial_count)
-        if not allowed_count:
-            return
+            return 0
+        return self._count_within_limit(candidate, trial_count)
+
+    def _trial_workers(self, candidate: Candidate) -> list[AvailableWorker]:
         workers = self._eligible_workers(candidate)
         workers.sort(
             key=lambda worker: (
@@ -194,13 +275,7 @@
                 isolation_rank(candidate, worker),
             )
         )
-        for task, worker in zip(tasks[:allowed_count], workers, strict=False):
-            if self._is_settled(worker):
-                start = self._assign_task(candidate, task, worker)
-                self._plan.start_groups.append([start])
-            worker.has_trial = True
-        if len(workers) < allowed_count:
-            self._query_for_tasks(candidate, allowed_count - len(workers))
+        return workers
 
     def _remaining_trials(self, candidate: Candidate) -> int:
         return self._capacity_index.remaining_trials(candidate.queue.service)
@@ -315,6 +390,7 @@
     ) -> bool:
         if (
             worker.has_trial
+            or worker.info.id in self._closed_workers(candidate)
             or not worker.has_capacity_for(candidate)
             or not worker.is_eligible_for(candidate)
         ):
@@ -323,6 +399,35 @@
             candidate.key.job, worker.info.id, self._now
         )
 
+    def _closed_workers(self, candidate: Candidate) -> frozenset[WorkerId]:
+        """Return the isolated workers if the others are large enough."""
+        if not self._isolated_workers:
+            return self._isolated_workers
+        closed = self._closed_workers_by_step.get(candidate.key)
+        if closed is None:
+            closed = self._isolated_workers
+            if not self._can_do_without(candidate, closed):
+                closed = frozenset()
+            self._closed_workers_by_step[candidate.key] = closed
+        return closed
+
+    def _can_do_without(
+        self, candidate: Candidate, workers: frozenset[WorkerId]
+    ) -> bool:
+        """Tell whether a step would fit on the other workers if all was free.
+
+        One task or a whole gang has to fit.  Workers that are down for a moment
+        count.
+        """
+        fitting_count = sum(
+            count_fitting(candidate.spec.resources, worker.info.capacity)
+            for worker in self._state.worker_by_id.values()
+            if worker.info.id not in workers
+            and is_eligible(candidate, worker.info)
+        )
+        required_count = candidate.spec.tasks if candidate.spec.is_gang else 1
+        return fitting_count >= required_count
+
     def _assign_task(
         self, candidate: Candidate, task_index: int, worker: AvailableWorker
     ) -> AttemptStart:
@@ -332,7 +437,7 @@
         planned_tasks = worker.planned_tasks_by_step.get(candidate.key, 0)
         worker.planned_tasks_by_step[candidate.key] = planned_tasks + 1
         task = record.step(candidate.key).tasks[task_index]
-        worker.has_trial |= is_suspect(task.crash_score)
+        worker.has_trial |= is_suspect(task)
         planned_usage = self._planned_usage_by_team.get(
             record.team, NO_RESOURCES
         )
@@ -365,10 +470,12 @@
             return
         workers = self._eligible_workers(candidate)
         records = candidate.record.step(candidate.key).tasks
-        if any(is_suspect(task.crash_score) for task in records):
+        if any(is_suspect(task) for task in records):
             if self._remaining_trials(candidate) <= 0:
                 return
             workers.sort(key=lambda worker: isolation_rank(candidate, worker))
+        if any(is_last_start(task) for task in records):
+            workers = [worker for worker in workers if self._is_settled(worker)]
         if _task_capacity(candidate, workers) >= task_count:
             self._plan.start_groups.append(
                 self._assign_tasks(candidate, tasks, workers)
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -27,7 +27,6 @@
     CellConfiguration,
     ConfigurationIndex,
 )
-from cassiahold.workflows.crashes import is_suspect
 from cassiahold.workflows.model import (
     AttemptKey,
     AttemptOutcome,
@@ -390,7 +389,7 @@
                 self._restore_allocations(record, key)
 
     def _restore_allocations(self, record: JobRecord, key: StepKey) -> None:
-        resources = record.spec.steps[key.step_index].resources
+        spec = record.spec.steps[key.step_index]
         for index, task in enumerate(record.step(key).tasks):
             if task.active_attempt is not None:
                 attempt = AttemptKey(
@@ -400,8 +399,8 @@
                     record.team,
                     attempt,
                     task.active_attempt.worker,
-                    resources,
-                    is_suspect=is_suspect(task.crash_score),
+                    spec,
+                    task,
                 )
 
     def _change_unstarted_count(self, record: JobRecord, change: int) -> None:
@@ -459,13 +458,12 @@
         task.active_attempt = AttemptRecord(
             start.attempt.attempt_number, start.worker, start.incarnation
         )
-        resources = self.step_spec(key).resources
         self._allocations.allocate(
             record.team,
             start.attempt,
             start.worker,
-            resources,
-            is_suspect=is_suspect(task.crash_score),
+            self.step_spec(key),
+            task,
         )
         if record.state is JobState.QUEUED:
             record.state = JobState.ACTIVE
--- a/libs/workflows/src/cassiahold/workflows/suspects.py
+++ b/libs/workflows/src/cassiahold/workflows/suspects.py
@@ -5,10 +5,15 @@
 its worker, so that a crash tells whether the task is the cause.  Under load few
 workers have a trial at the same time, or suspect tasks would crash workers as
 fast as they return.
+
+A task whose next crash may be its last one is isolated: nothing else starts on
+its worker until it ends, so that no other task can crash the worker under it.
 """
 
+import collections
 import typing
 
+from cassiahold.core.ids import WorkerId
 from cassiahold.workflows.crashes import RECENT_START_S
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import WorkerRecord
@@ -18,15 +23,31 @@
 # While less of the capacity is allocated, crashes cost little and no task that
 # could run should wait.
 LIGHT_LOAD_SHARE: typing.Final = 0.5
+# Of the workers of a service, those that are down for a moment included; the
+# others take the tasks that wait.
+MAX_ISOLATED_SHARE: typing.Final = 0.5
 
 
 def trial_limit(workers: typing.Collection[WorkerRecord]) -> int:
     """Return how many of a service's usable workers may have a trial."""
-    capacity_m = sum(worker.info.capacity.cores_m for worker in workers)
-    allocated_m = sum(worker.allocated.cores_m for worker in workers)
-    if allocated_m < capacity_m * LIGHT_LOAD_SHARE:
+    if has_light_load(workers):
         return len(workers)
-    return max(int(len(workers) * MAX_TRIAL_SHARE), 1)
+    return loaded_trial_limit(len(workers))
+
+
+def loaded_trial_limit(worker_count: int) -> int:
+    """Return on how many workers trials have precedence over other work."""
+    return max(int(worker_count * MAX_TRIAL_SHARE), 1)
+
+
+def has_light_load(workers: typing.Iterable[WorkerRecord]) -> bool:
+    """Tell whether much of the capacity of some workers is free."""
+    capacity_m = 0
+    allocated_m = 0
+    for worker in workers:
+        capacity_m += worker.info.capacity.cores_m
+        allocated_m += worker.allocated.cores_m
+    return allocated_m < capacity_m * LIGHT_LOAD_SHARE
 
 
 def has_trial(worker: WorkerRecord, health: HealthTracker, now: float) -> bool:
@@ -43,3 +64,41 @@
         health.has_run_for(attempt, RECENT_START_S, now)
         for attempt in worker.resources_by_attempt
     )
+
+
+def isolated_workers(
+    workers: typing.Iterable[WorkerRecord],
+    usable_workers: typing.Container[WorkerId],
+    health: HealthTracker,
+    now: float,
+) -> frozenset[WorkerId]:
+    """Return the workers on which nothing may start beside an isolated task.
+
+    Of the workers of each service at most ``MAX_ISOLATED_SHARE`` are.
+    """
+    count_by_service: collections.Counter[str] = collections.Counter()
+    isolated_by_service: dict[str, list[WorkerId]] = collections.defaultdict(
+        list
+    )
+    for worker in workers:
+        count_by_service[worker.info.service] += 1
+        if worker.info.id in usable_workers and _has_isolated_task(
+            worker, health, now
+        ):
+            isolated_by_service[worker.info.service].append(worker.info.id)
+    return frozenset(
+        worker_id
+        for service, isolated in isolated_by_service.items()
+        for worker_id in isolated[
+            : int(count_by_service[service] * MAX_ISOLATED_SHARE)
+        ]
+    )
+
+
+def _has_isolated_task(
+    worker: WorkerRecord, health: HealthTracker, now: float
+) -> bool:
+    return any(
+        not health.has_run_for(attempt, isolation_s, now)
+        for attempt, isolation_s in worker.isolation_s_by_attempt.items()
+    )
--- a/libs/workflows/tests/test_crashes.py
+++ b/libs/workflows/tests/test_crashes.py
@@ -8,7 +8,10 @@
 from cassiahold.workflows import commands
 from cassiahold.workflows.crashes import (
     PROVEN_RUN_S,
+    RECENT_START_S,
     CrashEvidence,
+    is_last_start,
+    is_suspect,
     weigh_crash,
 )
 from cassiahold.workflows.model import (
@@ -147,6 +150,32 @@
     assert cell.job('j').state is JobState.FAILED
 
 
+def test_task_that_has_run_for_a_while_is_no_suspect_any_more() -> None:
+    # A sound task was tried apart after each crash that it had only met.
+    cell = StateFixture('w')
+    cell.submit('j', step_spec())
+    crash(cell, attempt_key('j', 0, 0), CrashEvidence.RECENT)
+    task = cell.job('j').steps_by_occurrence[0][0].tasks[0]
+    assert is_suspect(task)
+    crash(cell, attempt_key('j', 0, 0, 2), CrashEvidence.PRESENT)
+    assert is_suspect(task)
+    crash(
+        cell, attempt_key('j', 0, 0, 3), CrashEvidence.PRESENT, RECENT_START_S
+    )
+    # Its crashes still count: one more may be the last.
+    assert task.suspect_score == 0
+    assert is_last_start(task)
+
+
+def test_task_that_crashes_workers_late_starts_five_times_at_most() -> None:
+    cell = StateFixture('w')
+    cell.submit('j', step_spec())
+    for number in range(1, MAX_STARTS + 1):
+        assert cell.job('j').is_open
+        crash(cell, attempt_key('j', 0, 0, number), CrashEvidence.PRESENT, 10.0)
+    assert cell.job('j').state is JobState.FAILED
+
+
 def test_crash_score_survives_a_snapshot() -> None:
     cell = StateFixture('w')
     cell.submit('j', step_spec())
@@ -164,6 +193,9 @@
     # As they were stored before crashes were counted.
     task = msgspec.msgpack.encode([False, 3, 1, '', None])
     assert msgspec.msgpack.decode(task, type=TaskRecord).crash_score == 0
+    # As they were stored before suspects could be cleared.
+    task = msgspec.msgpack.encode([False, 3, 1, '', None, 8])
+    assert is_last_start(msgspec.msgpack.decode(task, type=TaskRecord))
     attempt = attempt_key('j', 0, 0)
     result = msgspec.msgpack.encode([attempt, 'w', 'lost', '', 0.5])
     decoded = msgspec.msgpack.decode(result, type=commands.AttemptResult)
--- a/libs/workflows/tests/test_suspects.py
+++ b/libs/workflows/tests/test_suspects.py
@@ -15,7 +15,11 @@
 from cassiahold.core.testing import function_tests
 from cassiahold.workflows import commands
 from cassiahold.workflows.advisor_replies import AdvisorReplyCache
-from cassiahold.workflows.crashes import RECENT_START_S, CrashEvidence
+from cassiahold.workflows.crashes import (
+    PROVEN_RUN_S,
+    RECENT_START_S,
+    CrashEvidence,
+)
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import AttemptKey, AttemptOutcome
 from cassiahold.workflows.planning import Planner, PlanningContext
@@ -216,4 +220,103 @@
     assert [start.worker for start in plan_starts(cell)] == ['w', 'w']
 
 
+def crash_often(cell: StateFixture, job: str, crashes: int = 2) -> AttemptKey:
+    """Let a task crash its workers; return its next attempt."""
+    for number in range(1, crashes + 1):
+        attempt = attempt_key(job, 0, 0, number)
+        assert cell.start((attempt, 'crashed'))
+        result = commands.AttemptResult(
+            attempt,
+            WorkerId('crashed'),
+            AttemptOutcome.LOST,
+            crash=CrashEvidence.ONLY_RECENT,
+        )
+        cell.apply(commands.EndAttempts([result], 1.0))
+    return attempt_key(job, 0, 0, crashes + 1)
+
+
+def start_last(
+    cell: StateFixture, health: HealthTracker, job: str, worker: str
+) -> None:
+    """Start a task that one more crash ends; it survives its trial."""
+    attempt = crash_often(cell, job)
+    assert cell.start((attempt, worker))
+    show_running(health, attempt, worker)
+
+
+def test_nothing_starts_beside_a_task_that_one_more_crash_ends() -> None:
+    # Trials of others crashed its worker: a sound job was given up.
+    cell = StateFixture('crashed', 'v', 'w')
+    cell.submit('j', step_spec())
+    health = HealthTracker()
+    start_last(cell, health, 'j', 'w')
+    cell.submit('sound', step_spec(5))
+    workers = {start.worker for start in plan_starts(cell, health)}
+    assert workers == {'v'}
+    cell.state.restore(cell.state.snapshot())
+    workers = {start.worker for start in plan_starts(cell, health)}
+    assert workers == {'v'}
+    cell.end(attempt_key('j', 0, 0, 3), 'w', AttemptOutcome.DONE)
+    workers = {start.worker for start in plan_starts(cell, health)}
+    assert workers == {'v', 'w'}
+
+
+def test_isolated_tasks_leave_half_of_the_workers_to_others() -> None:
+    cell = StateFixture('crashed', 'u', 'v', 'w')
+    health = HealthTracker()
+    for worker in 'uvw':
+        cell.submit(f'j-{worker}', step_spec())
+        start_last(cell, health, f'j-{worker}', worker)
+    cell.submit('sound', step_spec(3))
+    assert len({start.worker for start in plan_starts(cell, health)}) == 1
+
+
+def test_isolated_task_holds_nothing_back_that_fits_nowhere_else() -> None:
+    # Work that needs a label waited although the only worker had room.
+    cell = StateFixture('crashed', 'v')
+    cell.apply(commands.RegisterWorker(worker_info('w', labels=('gpu',))))
+    health = HealthTracker()
+    cell.submit('j', step_spec())
+    start_last(cell, health, 'j', 'w')
+    cell.submit('sound', step_spec(required_label='gpu'))
+    assert [start.worker for start in plan_starts(cell, health)] == ['w']
+
+
+def test_long_running_task_is_not_isolated_after_a_long_run() -> None:
+    cell = StateFixture('crashed', 'v', 'w')
+    cell.submit('j', step_spec(is_long_running=True))
+    attempt = crash_often(cell, 'j')
+    assert cell.start((attempt, 'w'))
+    health = HealthTracker()
+    health.record_start(WorkerId('w'), attempt, NOW_S - PROVEN_RUN_S)
+    cell.submit('sound', step_spec())
+    # Best fit again.
+    assert plan_starts(cell, health)[0].worker == 'w'
+
+
+def test_gang_that_one_more_crash_ends_starts_on_settled_workers() -> None:
+    # A task that had just started beside it crashed its worker.
+    cell = StateFixture('crashed', 'v', 'w')
+    cell.submit('other', step_spec())
+    other = attempt_key('other', 0, 0)
+    cell.start((other, 'v'))
+    cell.submit('j', step_spec(5, is_gang=True))
+    crash_often(cell, 'j')
+    assert not plan_starts(cell)
+    health = HealthTracker()
+    show_running(health, other, 'v')
+    assert len(plan_starts(cell, health)) == 5
+
+
+def test_least_suspect_tasks_start_first_while_capacity_is_free() -> None:
+    # Tasks that had only been blamed waited behind those that crash workers.
+    cell = StateFixture('crashed', 'w')
+    cell.submit('crashing', step_spec())
+    crash_often(cell, 'crashing')
+    cell.submit('blamed', step_spec(), accepted_at=5.0)
+    crash(cell, 'blamed', 0)
+    (start,) = plan_starts(cell)
+    assert start.attempt.task.step.job == 'blamed'
+
+
 load_tests = function_tests(globals())
--- a/tools/bench/tests/test_crashing_cell.py
+++ b/tools/bench/tests/test_crashing_cell.py
@@ -24,6 +24,14 @@
     max_work_s=1.0,
     slack=3.0,
 )
+BATCH = JobClass(
+    queue=QueueName('batch'),
+    priority=1,
+    share=0.5,
+    min_work_s=3.0,
+    max_work_s=5.0,
+    slack=3.0,
+)
 
 
 def jobs(crashing_share: float) -> list[GeneratedJob]:
@@ -31,12 +39,19 @@
 
 
 def simulate(
-    policy: CrashPolicy, arriving: list[GeneratedJob], workers: int = 12
+    policy: CrashPolicy,
+    arriving: list[GeneratedJob],
+    workers: int = 12,
+    until_s: float = 30.0,
 ) -> CrashOutcome:
     cell = CrashingCell(
-        policy, workers, Resources(4000, 4000), Resources(1000, 1000), [CHECKS]
+        policy,
+        workers,
+        Resources(4000, 4000),
+        Resources(1000, 1000),
+        [CHECKS, BATCH],
     )
-    return cell.simulate(arriving, 30.0)
+    return cell.simulate(arriving, until_s)
 
 
 def test_jobs_are_on_time_without_crashes() -> None:
@@ -81,6 +96,15 @@
     assert waits.longest_s == 2.0
 
 
+def test_product_gives_no_sound_job_up_if_many_crash_workers() -> None:
+    # Trials on the workers of sound tasks ended them time and again.
+    arriving = generate_jobs([CHECKS, BATCH], 4, 6.0, 16.0, 0.4, 1)
+    outcome = simulate(PRODUCT, arriving, until_s=70.0)
+    assert outcome.sound_unfinished == 0
+    assert outcome.sound_given_up == 0
+    assert max(outcome.crashing_starts.values()) <= 5
+
+
 def test_equal_seeds_give_equal_results() -> None:
     assert simulate(PRODUCT, jobs(0.3)) == simulate(PRODUCT, jobs(0.3))
 
