Start few tasks of a step after one of them has crashed its worker

A job all of whose tasks crash their workers took up to three workers a task: in the simulation 27 for 12 tasks on 12 idle workers.

Each task was judged by its own crashes alone. After a crash shortly before which only one job may have had a start, its step is now doubted: two of its tasks start at a time, as suspects and apart, the most and the least suspect one. That ends when a task has run for 0.5 s on a worker in touch or has ended well. StepRecord counts such crashes in a new last field.

--- a/libs/workflows/src/cassiahold/workflows/allocations.py
+++ b/libs/workflows/src/cassiahold/workflows/allocations.py
@@ -14,8 +14,8 @@
 )
 from cassiahold.workflows.model import (
     AttemptKey,
+    StepRecord,
     StepSpec,
-    TaskRecord,
     WorkerRecord,
 )
 
@@ -42,14 +42,15 @@
         attempt: AttemptKey,
         worker_id: WorkerId,
         spec: StepSpec,
-        task: TaskRecord,
+        step: StepRecord,
     ) -> None:
-        """Allocate resources of a worker to an attempt of a task."""
+        """Allocate resources of a worker to an attempt of a step's task."""
         worker = self._worker_by_id[worker_id]
         resources = spec.resources
+        task = step.tasks[attempt.task.task_index]
         worker.allocated += resources
         worker.resources_by_attempt[attempt] = resources
-        if is_suspect(task):
+        if is_suspect(task) or step.is_doubted:
             worker.suspect_attempts.add(attempt)
         if is_last_start(task):
             worker.isolation_s_by_attempt[attempt] = isolation_s(
--- a/libs/workflows/src/cassiahold/workflows/attempt_results.py
+++ b/libs/workflows/src/cassiahold/workflows/attempt_results.py
@@ -12,8 +12,8 @@
     AttemptOutcome,
     JobRecord,
     StepKey,
+    StepRecord,
     StepSpec,
-    TaskRecord,
     WorkerRecord,
 )
 from cassiahold.workflows.steps import startable_tasks, step_keys
@@ -89,7 +89,7 @@
     if task.is_done:
         return None
     if result.crash is not CrashEvidence.NONE:
-        return _count_crash(task, result, spec)
+        return _count_crash(step, result, spec)
     if result.outcome is AttemptOutcome.FAILED and not spec.is_long_running:
         task.failures += 1
         step.gang_failures += int(spec.is_gang)
@@ -123,12 +123,15 @@
 
 
 def _count_crash(
-    task: TaskRecord, result: AttemptResult, spec: StepSpec
+    step: StepRecord, result: AttemptResult, spec: StepSpec
 ) -> FailureReason | None:
+    task = step.tasks[result.attempt.task.task_index]
     if spec.is_long_running and result.duration_s >= PROVEN_RUN_S:
         task.crash_score = 0
         task.suspect_score = 0
+        step.only_recent_crashes = 0
         return None
+    step.only_recent_crashes += int(result.crash is CrashEvidence.ONLY_RECENT)
     count_crash(task, result.crash, result.duration_s)
     if task.crash_score >= MAX_CRASH_SCORE:
         return FailureReason.CRASHES
--- a/libs/workflows/src/cassiahold/workflows/available_workers.py
+++ b/libs/workflows/src/cassiahold/workflows/available_workers.py
@@ -195,6 +195,25 @@
     return not required_label or required_label in worker.labels
 
 
+def can_do_without(
+    candidate: Candidate,
+    workers: typing.Iterable[WorkerRecord],
+    excluded: typing.Container[WorkerId],
+) -> bool:
+    """Tell whether a step would fit on the other workers if all was free.
+
+    One task or a whole gang has to fit.
+    """
+    fitting_count = sum(
+        count_fitting(candidate.spec.resources, worker.info.capacity)
+        for worker in workers
+        if worker.info.id not in excluded
+        and is_eligible(candidate, worker.info)
+    )
+    required_count = candidate.spec.tasks if candidate.spec.is_gang else 1
+    return fitting_count >= required_count
+
+
 def isolation_rank(
     candidate: Candidate, worker: AvailableWorker
 ) -> tuple[int, _PlacementRank]:
--- a/libs/workflows/src/cassiahold/workflows/model.py
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -155,12 +155,22 @@
     """State of a step.
 
     ``remaining_tasks`` counts the tasks that are not done,
-    ``gang_failures`` the failed attempts of all members of a gang.
+    ``gang_failures`` the failed attempts of all members of a gang,
+    ``only_recent_crashes`` the attempts that ended in crashes shortly before
+    which no other job may have had a start.
     """
 
     tasks: list[TaskRecord]
     remaining_tasks: int
     gang_failures: int = 0
+    only_recent_crashes: int = 0
+
+    @property
+    def is_doubted(self) -> bool:
+        """Tell whether tasks have crashed workers and none has ended well."""
+        return bool(
+            self.only_recent_crashes and self.remaining_tasks == len(self.tasks)
+        )
 
 
 class JobRecord(msgspec.Struct, array_like=True):
--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -33,20 +33,28 @@
 from cassiahold.workflows.available_workers import (
     AvailableWorker,
     CapacityIndex,
+    can_do_without,
     count_fitting,
-    is_eligible,
     isolation_rank,
     placement_rank,
     query_rank,
 )
 from cassiahold.workflows.commands import AttemptStart
 from cassiahold.workflows.configuration import QueuePolicy
-from cassiahold.workflows.crashes import is_last_start, is_suspect
+from cassiahold.workflows.crashes import (
+    RECENT_START_S,
+    is_last_start,
+    is_suspect,
+)
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import AttemptKey, StepKey, TaskKey, WorkerInfo
 from cassiahold.workflows.state import WorkflowState
-from cassiahold.workflows.steps import startable_tasks
-from cassiahold.workflows.suspects import is_settled, isolated_workers
+from cassiahold.workflows.steps import active_attempts, startable_tasks
+from cassiahold.workflows.suspects import (
+    is_settled,
+    isolated_workers,
+    select_doubted_tasks,
+)
 from cassiahold.workflows.urgency import Backlog, Candidate
 
 # More workers than a gang needs, since more urgent work may take some of them.
@@ -187,17 +195,40 @@
     # Tasks that start one by one.
 
     def _place_step(self, candidate: Candidate, tasks: list[int]) -> None:
-        records = candidate.record.step(candidate.key).tasks
+        step = candidate.record.step(candidate.key)
+        if step.is_doubted and not self._has_settled_task(candidate):
+            active_count = len(active_attempts(candidate.record, candidate.key))
+            tasks = select_doubted_tasks(tasks, step.tasks, active_count)
+            self._place_or_postpone_suspects(candidate, tasks)
+            return
+        records = step.tasks
         suspects = [index for index in tasks if is_suspect(records[index])]
         if suspects:
             tasks = [index for index in tasks if index not in suspects]
-            if self._capacity_index.has_light_load(candidate.queue.service):
-                self._postpone_suspects(candidate, suspects)
-            else:
-                self._place_suspects(candidate, suspects)
+            self._place_or_postpone_suspects(candidate, suspects)
         if tasks:
             self._place_tasks(candidate, tasks)
 
+    def _has_settled_task(self, candidate: Candidate) -> bool:
+        """Tell whether a task of a step has run on after its start."""
+        return any(
+            worker in self._usable_workers
+            and self._health.has_run_for(attempt, RECENT_START_S, self._now)
+            for attempt, worker in active_attempts(
+                candidate.record, candidate.key
+            ).items()
+        )
+
+    def _place_or_postpone_suspects(
+        self, candidate: Candidate, tasks: list[int]
+    ) -> None:
+        if not tasks:
+            return
+        if self._capacity_index.has_light_load(candidate.queue.service):
+            self._postpone_suspects(candidate, tasks)
+        else:
+            self._place_suspects(candidate, tasks)
+
     def _postpone_suspects(
         self, candidate: Candidate, tasks: list[int]
     ) -> None:
@@ -406,28 +437,13 @@
         closed = self._closed_workers_by_step.get(candidate.key)
         if closed is None:
             closed = self._isolated_workers
-            if not self._can_do_without(candidate, closed):
+            if not can_do_without(
+                candidate, self._state.worker_by_id.values(), closed
+            ):
                 closed = frozenset()
             self._closed_workers_by_step[candidate.key] = closed
         return closed
 
-    def _can_do_without(
-        self, candidate: Candidate, workers: frozenset[WorkerId]
-    ) -> bool:
-        """Tell whether a step would fit on the other workers if all was free.
-
-        One task or a whole gang has to fit.  Workers that are down for a moment
-        count.
-        """
-        fitting_count = sum(
-            count_fitting(candidate.spec.resources, worker.info.capacity)
-            for worker in self._state.worker_by_id.values()
-            if worker.info.id not in workers
-            and is_eligible(candidate, worker.info)
-        )
-        required_count = candidate.spec.tasks if candidate.spec.is_gang else 1
-        return fitting_count >= required_count
-
     def _assign_task(
         self, candidate: Candidate, task_index: int, worker: AvailableWorker
     ) -> AttemptStart:
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -400,7 +400,7 @@
                     attempt,
                     task.active_attempt.worker,
                     spec,
-                    task,
+                    record.step(key),
                 )
 
     def _change_unstarted_count(self, record: JobRecord, change: int) -> None:
@@ -463,7 +463,7 @@
             start.attempt,
             start.worker,
             self.step_spec(key),
-            task,
+            record.step(key),
         )
         if record.state is JobState.QUEUED:
             record.state = JobState.ACTIVE
--- a/libs/workflows/src/cassiahold/workflows/steps.py
+++ b/libs/workflows/src/cassiahold/workflows/steps.py
@@ -1,7 +1,13 @@
 """Rules for which steps and tasks of a job may start."""
 
+from cassiahold.core.ids import WorkerId
 from cassiahold.workflows.commands import AttemptStart
-from cassiahold.workflows.model import JobRecord, StepKey
+from cassiahold.workflows.model import (
+    AttemptKey,
+    JobRecord,
+    StepKey,
+    TaskKey,
+)
 
 
 def step_keys(record: JobRecord) -> list[StepKey]:
@@ -32,6 +38,19 @@
     ]
 
 
+def active_attempts(
+    record: JobRecord, key: StepKey
+) -> dict[AttemptKey, WorkerId]:
+    """Return the workers of the attempts of a step that may be in progress."""
+    return {
+        AttemptKey(
+            TaskKey(key, index), task.active_attempt.attempt_number
+        ): task.active_attempt.worker
+        for index, task in enumerate(record.step(key).tasks)
+        if task.active_attempt is not None
+    }
+
+
 def has_startable_tasks(record: JobRecord, key: StepKey) -> bool:
     """Tell whether a step is ready and has a task that may start."""
     return record.is_step_ready(key) and bool(startable_tasks(record, key))
--- a/libs/workflows/src/cassiahold/workflows/suspects.py
+++ b/libs/workflows/src/cassiahold/workflows/suspects.py
@@ -6,6 +6,10 @@
 workers have a trial at the same time, or suspect tasks would crash workers as
 fast as they return.
 
+A step in which tasks have crashed workers is doubted until one of its tasks has
+run for ``RECENT_START_S`` or has ended well: few of its tasks start at a time,
+each as a suspect, or each of them would crash a worker.
+
 A task whose next crash may be its last one is isolated: nothing else starts on
 its worker until it ends, so that no other task can crash the worker under it.
 """
@@ -16,13 +20,15 @@
 from cassiahold.core.ids import WorkerId
 from cassiahold.workflows.crashes import RECENT_START_S
 from cassiahold.workflows.health import HealthTracker
-from cassiahold.workflows.model import WorkerRecord
+from cassiahold.workflows.model import TaskRecord, WorkerRecord
 
 # Of the usable workers of a service; at least one may have a trial.
 MAX_TRIAL_SHARE: typing.Final = 0.1
 # While less of the capacity is allocated, crashes cost little and no task that
 # could run should wait.
 LIGHT_LOAD_SHARE: typing.Final = 0.5
+# Of a step whose tasks may all crash their workers.
+MAX_DOUBTED_TRIALS: typing.Final = 2
 # Of the workers of a service, those that are down for a moment included; the
 # others take the tasks that wait.
 MAX_ISOLATED_SHARE: typing.Final = 0.5
@@ -66,6 +72,23 @@
     )
 
 
+def select_doubted_tasks(
+    tasks: typing.Iterable[int],
+    records: typing.Sequence[TaskRecord],
+    active_count: int,
+) -> list[int]:
+    """Return which tasks of a doubted step may start.
+
+    The most suspect task comes first, since it decides about the job, and then
+    the least suspect one, which may show that others are sound.
+    """
+    ranked = sorted(
+        tasks, key=lambda index: (-records[index].suspect_score, index)
+    )
+    selected = [*ranked[:1], *reversed(ranked[1:])]
+    return selected[: max(MAX_DOUBTED_TRIALS - active_count, 0)]
+
+
 def isolated_workers(
     workers: typing.Iterable[WorkerRecord],
     usable_workers: typing.Container[WorkerId],
--- a/libs/workflows/tests/test_crashes.py
+++ b/libs/workflows/tests/test_crashes.py
@@ -18,6 +18,7 @@
     AttemptKey,
     AttemptOutcome,
     JobState,
+    StepRecord,
     TaskRecord,
 )
 
@@ -181,6 +182,7 @@
     cell.submit('j', step_spec())
     crash(cell, attempt_key('j', 0, 0), CrashEvidence.ONLY_RECENT)
     cell.state.restore(cell.state.snapshot())
+    assert cell.job('j').steps_by_occurrence[0][0].is_doubted
     cell.start((attempt_key('j', 0, 0, 2), 'w'))
     worker = cell.state.worker_by_id[WorkerId('w')]
     assert worker.suspect_attempts == {attempt_key('j', 0, 0, 2)}
@@ -196,6 +198,8 @@
     # As they were stored before suspects could be cleared.
     task = msgspec.msgpack.encode([False, 3, 1, '', None, 8])
     assert is_last_start(msgspec.msgpack.decode(task, type=TaskRecord))
+    step = msgspec.msgpack.encode([[[False, 3, 1, '', None]], 1, 1])
+    assert not msgspec.msgpack.decode(step, type=StepRecord).is_doubted
     attempt = attempt_key('j', 0, 0)
     result = msgspec.msgpack.encode([attempt, 'w', 'lost', '', 0.5])
     decoded = msgspec.msgpack.decode(result, type=commands.AttemptResult)
--- a/tools/bench/src/cassiahold/bench/experiments/crashing_cell.py
+++ b/tools/bench/src/cassiahold/bench/experiments/crashing_cell.py
@@ -76,7 +76,11 @@
 
 
 class GeneratedJob(msgspec.Struct, frozen=True):
-    """A job to submit; ``crashing_task`` is the index of a task or None."""
+    """A job to submit.
+
+    ``crashing_task`` is the index of a task or None; with ``all_tasks_crash``
+    the others crash their workers, too.
+    """
 
     id: JobId
     job_class: JobClass
@@ -84,6 +88,13 @@
     tasks: int
     work_s: float
     crashing_task: int | None = None
+    all_tasks_crash: bool = False
+
+    def is_crashing(self, task_index: int) -> bool:
+        """Tell whether a task crashes its workers."""
+        if self.crashing_task is None:
+            return False
+        return self.all_tasks_crash or task_index == self.crashing_task
 
 
 class CrashPolicy(msgspec.Struct, frozen=True, kw_only=True):
@@ -108,7 +119,7 @@
     """What one simulated cell did with the sound and the crashing jobs.
 
     ``crashing_starts`` counts the starts of each crashing task that was
-    started; ``sound_unfinished`` counts the sound jobs open at the end.
+    started, ``sound_unfinished`` counts the sound jobs open at the end.
     ``longest_idle_wait_s`` is the longest time that a task of a sound job
     waited while at least half of the capacity of the workers in touch was free.
     """
@@ -117,7 +128,7 @@
     sound_given_up: int = 0
     sound_on_time: int = 0
     sound_unfinished: int = 0
-    crashing_starts: dict[JobId, int] = msgspec.field(default_factory=dict)
+    crashing_starts: dict[TaskKey, int] = msgspec.field(default_factory=dict)
     crashes: int = 0
     longest_idle_wait_s: float = 0.0
 
@@ -161,11 +172,14 @@
     arrive_s: float,
     crashing_share: float,
     seed: int,
+    *,
+    all_tasks_crash: bool = False,
 ) -> list[GeneratedJob]:
     """Return the jobs that arrive, a share of them with a crashing task.
 
     A seed gives the same arrivals and sizes for each ``crashing_share``, and
-    the crashing jobs of a share are among those of each larger one.
+    the crashing jobs of a share are among those of each larger one.  With
+    ``all_tasks_crash`` all tasks of such a job crash their workers.
     """
     generator = random.Random(seed)
     weights = [job_class.share for job_class in job_classes]
@@ -181,7 +195,10 @@
             )
         )
         arrives_at += generator.expovariate(jobs_per_s)
-    return _add_crashing_tasks(jobs, crashing_share, generator)
+    return [
+        msgspec.structs.replace(job, all_tasks_crash=all_tasks_crash)
+        for job in _add_crashing_tasks(jobs, crashing_share, generator)
+    ]
 
 
 def _add_crashing_tasks(
@@ -380,9 +397,9 @@
         self._health.record_start(start.worker, start.attempt, self._now)
         task = start.attempt.task
         job = self._job_by_id[task.step.job].job
-        if task.task_index == job.crashing_task:
+        if job.is_crashing(task.task_index):
             starts = self._outcome.crashing_starts
-            starts[job.id] = starts.get(job.id, 0) + 1
+            starts[task] = starts.get(task, 0) + 1
             self._schedule_event(
                 self._now + CRASH_DELAY_S,
                 functools.partial(self._crash_worker, start),
--- a/tools/bench/src/cassiahold/bench/experiments/crashing_jobs.py
+++ b/tools/bench/src/cassiahold/bench/experiments/crashing_jobs.py
@@ -57,6 +57,9 @@
         until_s: End of the simulation.
         target_starts: Most starts of a crashing task.
         target_given_up_part: Largest fraction of the sound jobs given up.
+        wholly_crashing_shares: Shares of the jobs all of whose tasks crash.
+        target_lost_part: Workers lost to jobs all of whose tasks crash, as a
+            part of those lost with a counter to three.
         target_idle_wait_s: Longest wait of a task of a sound job while at
             least half of the capacity is free.
         seed: Jobs for which the policies are compared.
@@ -74,6 +77,8 @@
     until_s: float
     target_starts: float
     target_given_up_part: float
+    wholly_crashing_shares: list[float]
+    target_lost_part: float
     target_idle_wait_s: float
     seed: int
     further_seeds: list[int]
@@ -114,13 +119,53 @@
             '%',
         )
     )
+    for share in settings.wholly_crashing_shares:
+        results.extend(_compare_lost_workers(settings, share))
     return results
 
 
+def _compare_lost_workers(
+    settings: CrashingJobsSettings, share: float
+) -> list[BenchmarkResult]:
+    """Judge what jobs take all of whose tasks crash their workers."""
+    outcomes = simulate_policies(
+        settings, share, (COUNTER_TO_THREE, PRODUCT), all_tasks_crash=True
+    )
+    for name, outcome in outcomes.items():
+        _print_outcome(share, f'{name}, all tasks', outcome)
+    baseline, product = outcomes.values()
+    return [
+        expect_at_most(
+            f'workers lost, all tasks of {share:.0%} crashing',
+            float(product.crashes),
+            baseline.crashes * settings.target_lost_part,
+            'workers',
+            COUNTER_TO_THREE.name,
+            float(baseline.crashes),
+        ),
+        expect_at_most(
+            f'sound jobs given up, all tasks of {share:.0%} crashing',
+            _given_up_percent(product),
+            settings.target_given_up_part * _PERCENT,
+            '%',
+            COUNTER_TO_THREE.name,
+            _given_up_percent(baseline),
+        ),
+        expect_at_least(
+            f'sound jobs on time, all tasks of {share:.0%} crashing',
+            _on_time_percent(product),
+            _on_time_percent(baseline),
+            '%',
+        ),
+    ]
+
+
 def simulate_policies(
     settings: CrashingJobsSettings,
     crashing_share: float,
     policies: typing.Iterable[CrashPolicy] = POLICIES,
+    *,
+    all_tasks_crash: bool = False,
 ) -> _OutcomeByPolicy:
     """Return the outcome of each policy for the same jobs, by its name."""
     jobs = generate_jobs(
@@ -130,6 +175,7 @@
         settings.arrive_s,
         crashing_share,
         settings.seed,
+        all_tasks_crash=all_tasks_crash,
     )
     return {
         policy.name: CrashingCell(
@@ -222,7 +268,7 @@
         f'{_on_time_percent(outcome):.1f}% on time, '
         f'{outcome.sound_unfinished} open, '
         f'idle wait {outcome.longest_idle_wait_s:.1f} s; '
-        f'crashing: {len(outcome.crashing_starts)} jobs, '
+        f'crashing: {len(outcome.crashing_starts)} tasks, '
         f'starts {max(starts)} most, {statistics.fmean(starts):.2f} mean; '
         f'{outcome.lost_worker_s:.0f} worker-s lost'
     )
--- a/tools/bench/tests/test_crashing_cell.py
+++ b/tools/bench/tests/test_crashing_cell.py
@@ -74,7 +74,8 @@
     sound = GeneratedJob(JobId('sound'), CHECKS, 0.0, 1, 20.0)
     crashing = GeneratedJob(JobId('crashing'), CHECKS, 0.1, 1, 1.0, 0)
     outcome = simulate(COUNTER_TO_TWO, [sound, crashing], workers=1)
-    assert outcome.crashing_starts == {'crashing': 2}
+    task = TaskKey(StepKey(JobId('crashing'), 0, 0), 0)
+    assert outcome.crashing_starts == {task: 2}
     assert outcome.sound_given_up == 1
     assert outcome.lost_worker_s == 2 * RESTART_S
 
@@ -105,6 +106,14 @@
     assert max(outcome.crashing_starts.values()) <= 5
 
 
+def test_job_whose_tasks_all_crash_takes_few_workers() -> None:
+    # Its tasks crashed 27.
+    job = GeneratedJob(
+        JobId('j'), CHECKS, 0.0, 12, 1.0, crashing_task=0, all_tasks_crash=True
+    )
+    assert simulate(PRODUCT, [job]).crashes <= 8
+
+
 def test_equal_seeds_give_equal_results() -> None:
     assert simulate(PRODUCT, jobs(0.3)) == simulate(PRODUCT, jobs(0.3))
 
