Bound the workers that one team's suspects take under load

Trials were bounded for a service as a whole: the suspects of one team could have all of them, and those whose worker was down counted no more, so that they took further workers while others were coming back.

A team that has none may start one whatever other teams take. Nothing changes while much of the capacity is free, where no task that could run is to wait.

--- a/libs/workflows/src/cassiahold/workflows/available_workers.py
+++ b/libs/workflows/src/cassiahold/workflows/available_workers.py
@@ -6,6 +6,7 @@
 """
 
 import bisect
+import collections
 import typing
 
 import msgspec
@@ -18,7 +19,6 @@
     has_light_load,
     has_trial,
     loaded_trial_limit,
-    trial_limit,
 )
 from cassiahold.workflows.urgency import Candidate
 
@@ -111,6 +111,12 @@
         self._worker_by_id = {
             available.info.id: available for available in self._ordered
         }
+        self._workers_by_service: dict[str, list[AvailableWorker]] = (
+            collections.defaultdict(list)
+        )
+        for available in self._ordered:
+            self._workers_by_service[available.info.service].append(available)
+        self._has_light_load_by_service: dict[str, bool] = {}
 
     def select(
         self, workers: typing.Iterable[WorkerId]
@@ -121,24 +127,30 @@
 
     def has_light_load(self, service: str) -> bool:
         """Tell whether much of the capacity of a service is free."""
-        return has_light_load(
-            worker.record for worker in self._workers_of(service)
-        )
+        has_light = self._has_light_load_by_service.get(service)
+        if has_light is None:
+            has_light = has_light_load(
+                worker.record for worker in self._workers_of(service)
+            )
+            self._has_light_load_by_service[service] = has_light
+        return has_light
 
     def remaining_trials(self, service: str) -> int:
         """Return on how many more of its workers a suspect task may start."""
         workers = self._workers_of(service)
-        trial_count = sum(worker.has_trial for worker in workers)
-        return trial_limit([worker.record for worker in workers]) - trial_count
+        limit = (
+            len(workers)
+            if self.has_light_load(service)
+            else loaded_trial_limit(len(workers))
+        )
+        return limit - sum(worker.has_trial for worker in workers)
 
     def kept_worker_limit(self, service: str) -> int:
         """Return how many workers may be kept for trials of a service."""
         return loaded_trial_limit(len(self._workers_of(service)))
 
     def _workers_of(self, service: str) -> list[AvailableWorker]:
-        return [
-            worker for worker in self._ordered if worker.info.service == service
-        ]
+        return self._workers_by_service.get(service, [])
 
     def all_workers(self) -> list[AvailableWorker]:
         """Return every usable worker, those with most free cores first."""
--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -55,6 +55,7 @@
     isolated_workers,
     select_doubted_tasks,
 )
+from cassiahold.workflows.team_trials import TeamTrials
 from cassiahold.workflows.urgency import Backlog, Candidate
 
 # More workers than a gang needs, since more urgent work may take some of them.
@@ -163,6 +164,12 @@
             self._now,
         )
 
+    @functools.cached_property
+    def _team_trials(self) -> TeamTrials:
+        return TeamTrials(
+            self._state, self._usable_workers, self._health, self._now
+        )
+
     @functools.cached_property
     def _isolated_workers(self) -> frozenset[WorkerId]:
         return isolated_workers(
@@ -249,7 +256,10 @@
             self._count_keepable_workers(candidate.queue.service),
         )
         if kept_count > 0:
-            self._keep_workers(self._trial_workers(candidate)[:kept_count])
+            kept_workers = self._trial_workers(candidate)[:kept_count]
+            for worker in kept_workers:
+                worker.has_trial = True
+            self._kept_workers.extend(kept_workers)
 
     def _count_keepable_workers(self, service: str) -> int:
         kept_count = sum(
@@ -257,11 +267,6 @@
         )
         return self._capacity_index.kept_worker_limit(service) - kept_count
 
-    def _keep_workers(self, workers: list[AvailableWorker]) -> None:
-        for worker in workers:
-            worker.has_trial = True
-        self._kept_workers.extend(workers)
-
     def _place_postponed_suspects(self) -> None:
         """Start the least suspect tasks first.
 
@@ -287,6 +292,9 @@
             if self._is_settled(worker):
                 start = self._assign_task(candidate, task, worker)
                 self._plan.start_groups.append([start])
+                self._team_trials.record_start(
+                    worker.info.service, candidate.record.team
+                )
             worker.has_trial = True
         if len(workers) < trial_count:
             self._query_for_tasks(candidate, trial_count - len(workers))
@@ -309,7 +317,18 @@
         return workers
 
     def _remaining_trials(self, candidate: Candidate) -> int:
-        return self._capacity_index.remaining_trials(candidate.queue.service)
+        """Return how many suspect tasks of a step's team may start.
+
+        Under load a team may take few workers, and one whatever others take.
+        """
+        service = candidate.queue.service
+        team = candidate.record.team
+        remaining = self._capacity_index.remaining_trials(service)
+        if self._capacity_index.has_light_load(service):
+            return remaining
+        if not self._team_trials.count_taken(service, team):
+            return max(remaining, 1)
+        return min(remaining, self._team_trials.remaining(service, team))
 
     def _is_settled(self, worker: AvailableWorker) -> bool:
         if worker.planned_tasks_by_step:
--- a/libs/workflows/src/cassiahold/workflows/suspects.py
+++ b/libs/workflows/src/cassiahold/workflows/suspects.py
@@ -34,13 +34,6 @@
 MAX_ISOLATED_SHARE: typing.Final = 0.5
 
 
-def trial_limit(workers: typing.Collection[WorkerRecord]) -> int:
-    """Return how many of a service's usable workers may have a trial."""
-    if has_light_load(workers):
-        return len(workers)
-    return loaded_trial_limit(len(workers))
-
-
 def loaded_trial_limit(worker_count: int) -> int:
     """Return on how many workers trials have precedence over other work."""
     return max(int(worker_count * MAX_TRIAL_SHARE), 1)
--- a/libs/workflows/tests/state_fixtures.py
+++ b/libs/workflows/tests/state_fixtures.py
@@ -96,8 +96,9 @@
         spec = WorkflowSpec('payload', steps, **options.pop('spec', {}))
         accepted_at = options.pop('accepted_at', 0.0)
         queue_name = QueueName(options.pop('queue', QUEUE))
+        team = options.pop('team', TEAM)
         return self.apply(
-            commands.AcceptJob(JobId(name), queue_name, TEAM, spec, accepted_at)
+            commands.AcceptJob(JobId(name), queue_name, team, spec, accepted_at)
         )
 
     def start(
--- a/libs/workflows/tests/test_suspects.py
+++ b/libs/workflows/tests/test_suspects.py
@@ -10,7 +10,7 @@
     worker_info,
 )
 
-from cassiahold.core.ids import JobId, ServiceName, WorkerId
+from cassiahold.core.ids import JobId, ServiceName, TeamName, WorkerId
 from cassiahold.core.resources import Resources
 from cassiahold.core.testing import function_tests
 from cassiahold.workflows import commands
@@ -374,4 +374,41 @@
     assert len(plan_starts(cell)) == 8
 
 
+def loaded_cell(health: HealthTracker) -> StateFixture:
+    """Return a cell of 20 workers half of whose capacity is allocated."""
+    names = [f'w{number:02}' for number in range(20)]
+    cell = StateFixture('crashed', *names)
+    cell.submit('load', step_spec(20, resources=HALF))
+    for number, name in enumerate(names):
+        cell.start((attempt_key('load', 0, number), name))
+        show_running(health, attempt_key('load', 0, number), name)
+    return cell
+
+
+def test_workers_that_a_team_has_lost_count_against_its_trials() -> None:
+    # It crashed further ones as soon as others were noticed.
+    health = HealthTracker()
+    cell = loaded_cell(health)
+    for job in ('i', 'j', 'k'):
+        cell.submit(job, step_spec())
+        crash(cell, job, 0)
+    assert len(plan_starts(cell, health)) == 2
+    cell.start((attempt_key('i', 0, 0, 2), 'crashed'))
+    show_running(health, attempt_key('i', 0, 0, 2), 'crashed')
+    assert len(plan_starts(cell, health)) == 1
+
+
+def test_suspects_of_one_team_do_not_hold_back_those_of_another() -> None:
+    # The one team had every trial.
+    health = HealthTracker()
+    cell = loaded_cell(health)
+    for job in ('i', 'j', 'k'):
+        cell.submit(job, step_spec())
+        crash(cell, job, 0)
+    cell.submit('other', step_spec(), team=TeamName('other'), accepted_at=5.0)
+    crash(cell, 'other', 0)
+    jobs = [start.attempt.task.step.job for start in plan_starts(cell, health)]
+    assert jobs == ['i', 'j', 'other']
+
+
 load_tests = function_tests(globals())
--- a/tools/bench/src/cassiahold/bench/experiments/crashing_cell.py
+++ b/tools/bench/src/cassiahold/bench/experiments/crashing_cell.py
@@ -56,6 +56,7 @@
 IDLE_LOAD_SHARE: typing.Final = 0.5  # much of the capacity is free below it
 SERVICE: typing.Final = ServiceName('desk')
 TEAM: typing.Final = TeamName('team')
+OTHER_TEAM: typing.Final = TeamName('other')
 
 
 class JobClass(msgspec.Struct, frozen=True, kw_only=True):
@@ -79,7 +80,7 @@
     """A job to submit.
 
     ``crashing_task`` is the index of a task or None; with ``all_tasks_crash``
-    the others crash their workers, too.
+    the others crash their workers, too.  ``TEAM`` submits the crashing jobs.
     """
 
     id: JobId
@@ -89,6 +90,7 @@
     work_s: float
     crashing_task: int | None = None
     all_tasks_crash: bool = False
+    team: TeamName = TEAM
 
     def is_crashing(self, task_index: int) -> bool:
         """Tell whether a task crashes its workers."""
@@ -120,6 +122,8 @@
 
     ``crashing_starts`` counts the starts of each crashing task that was
     started, ``sound_unfinished`` counts the sound jobs open at the end.
+    ``other_jobs``, ``other_on_time`` and ``other_attempts_lost`` are of
+    ``OTHER_TEAM``, whose jobs are all sound; its attempts end with workers.
     ``longest_idle_wait_s`` is the longest time that a task of a sound job
     waited while at least half of the capacity of the workers in touch was free.
     """
@@ -130,6 +134,9 @@
     sound_unfinished: int = 0
     crashing_starts: dict[TaskKey, int] = msgspec.field(default_factory=dict)
     crashes: int = 0
+    other_jobs: int = 0
+    other_on_time: int = 0
+    other_attempts_lost: int = 0
     longest_idle_wait_s: float = 0.0
 
     @property
@@ -327,7 +334,7 @@
             commands.AcceptJob(
                 job.id,
                 job.job_class.queue,
-                TEAM,
+                job.team,
                 WorkflowSpec('-', (step,)),
                 self._now,
             )
@@ -492,6 +499,10 @@
             ]
         )
         self._health.forget_worker(worker.info.id, evidence_by_attempt)
+        self._outcome.other_attempts_lost += sum(
+            self._job_by_id[attempt.task.step.job].job.team == OTHER_TEAM
+            for attempt in evidence_by_attempt
+        )
         if not self._policy.is_in_state:
             self._count_crash(evidence_by_attempt)
 
@@ -514,6 +525,9 @@
                 continue
             self._outcome.sound_jobs += 1
             self._outcome.sound_on_time += int(running_job.is_on_time)
+            if running_job.job.team == OTHER_TEAM:
+                self._outcome.other_jobs += 1
+                self._outcome.other_on_time += int(running_job.is_on_time)
             if running_job.state is JobState.QUEUED:
                 self._outcome.sound_unfinished += 1
             elif running_job.state is not JobState.COMPLETE:
@@ -538,3 +552,15 @@
     return CellConfiguration(
         1, queues, (ServicePolicy(SERVICE),), (TeamPolicy(TEAM, ('key',)),)
     )
+
+
+def with_other_team(
+    jobs: typing.Iterable[GeneratedJob],
+) -> list[GeneratedJob]:
+    """Return the jobs, every second one without a crash of another team."""
+    return [
+        msgspec.structs.replace(job, team=OTHER_TEAM)
+        if job.crashing_task is None and index % 2
+        else job
+        for index, job in enumerate(jobs)
+    ]
--- a/tools/bench/src/cassiahold/bench/experiments/crashing_jobs.py
+++ b/tools/bench/src/cassiahold/bench/experiments/crashing_jobs.py
@@ -12,6 +12,7 @@
     CrashPolicy,
     JobClass,
     generate_jobs,
+    with_other_team,
 )
 from cassiahold.bench.experiments.results import (
     BenchmarkResult,
@@ -60,6 +61,8 @@
         wholly_crashing_shares: Shares of the jobs all of whose tasks crash.
         target_lost_part: Workers lost to jobs all of whose tasks crash, as a
             part of those lost with a counter to three.
+        two_team_shares: Shares of the jobs with a crashing task, all of them
+            of one of two teams.
         target_idle_wait_s: Longest wait of a task of a sound job while at
             least half of the capacity is free.
         seed: Jobs for which the policies are compared.
@@ -79,6 +82,7 @@
     target_given_up_part: float
     wholly_crashing_shares: list[float]
     target_lost_part: float
+    two_team_shares: list[float]
     target_idle_wait_s: float
     seed: int
     further_seeds: list[int]
@@ -121,9 +125,34 @@
     )
     for share in settings.wholly_crashing_shares:
         results.extend(_compare_lost_workers(settings, share))
+    for share in settings.two_team_shares:
+        results.append(_compare_other_team(settings, share))
     return results
 
 
+def _compare_other_team(
+    settings: CrashingJobsSettings, share: float
+) -> BenchmarkResult:
+    """Judge the jobs of a team beside one that submits crashing jobs."""
+    outcomes = simulate_policies(
+        settings, share, (COUNTER_TO_THREE, PRODUCT), has_other_team=True
+    )
+    for name, outcome in outcomes.items():
+        _print_outcome(share, f'{name}, teams', outcome)
+        sys.stdout.write(
+            f'       of the other team: {_other_on_time_percent(outcome):.1f}% '
+            f'of {outcome.other_jobs} jobs on time, '
+            f'{outcome.other_attempts_lost} attempts lost\n'
+        )
+    baseline, product = outcomes.values()
+    return expect_at_least(
+        f'jobs of another team on time, {share:.0%} crashing',
+        _other_on_time_percent(product),
+        _other_on_time_percent(baseline),
+        '%',
+    )
+
+
 def _compare_lost_workers(
     settings: CrashingJobsSettings, share: float
 ) -> list[BenchmarkResult]:
@@ -166,6 +195,7 @@
     policies: typing.Iterable[CrashPolicy] = POLICIES,
     *,
     all_tasks_crash: bool = False,
+    has_other_team: bool = False,
 ) -> _OutcomeByPolicy:
     """Return the outcome of each policy for the same jobs, by its name."""
     jobs = generate_jobs(
@@ -177,6 +207,8 @@
         settings.seed,
         all_tasks_crash=all_tasks_crash,
     )
+    if has_other_team:
+        jobs = with_other_team(jobs)
     return {
         policy.name: CrashingCell(
             policy,
@@ -284,3 +316,7 @@
 
 def _on_time_percent(outcome: CrashOutcome) -> float:
     return outcome.sound_on_time / outcome.sound_jobs * _PERCENT
+
+
+def _other_on_time_percent(outcome: CrashOutcome) -> float:
+    return outcome.other_on_time / outcome.other_jobs * _PERCENT
--- a/tools/bench/tests/test_crashing_cell.py
+++ b/tools/bench/tests/test_crashing_cell.py
@@ -1,6 +1,7 @@
 """Tests of the simulated cell in which some tasks crash their workers."""
 
 from cassiahold.bench.experiments.crashing_cell import (
+    OTHER_TEAM,
     RESTART_S,
     CrashingCell,
     CrashOutcome,
@@ -114,6 +115,14 @@
     assert simulate(PRODUCT, [job]).crashes <= 8
 
 
+def test_attempts_that_another_team_loses_are_counted() -> None:
+    other = GeneratedJob(JobId('o'), CHECKS, 0.0, 1, 5.0, team=OTHER_TEAM)
+    crashing = GeneratedJob(JobId('c'), CHECKS, 1.0, 1, 1.0, crashing_task=0)
+    outcome = simulate(PRODUCT, [other, crashing], workers=1)
+    assert outcome.other_jobs == 1
+    assert outcome.other_attempts_lost == outcome.crashes == 3
+
+
 def test_equal_seeds_give_equal_results() -> None:
     assert simulate(PRODUCT, jobs(0.3)) == simulate(PRODUCT, jobs(0.3))
 
