Let a gang that can never fit reserve nothing

A gang now reserves only if it would fit, were everything free, on the workers with its service and label that no advisor denies; those that are down for a moment count. The limit of tasks per worker counts, too.

Failed before: gang_that_can_never_fit_reserves_nothing, gang_without_enough_allowed_workers_reserves_nothing. gang_that_waits_for_a_worker_that_is_down_reserves_the_others guards the bound.

Five tests asked for the fault: their gangs of 9 or 10 tasks waited on two workers of 4 cores (one of 5 on a single allowed one). Their gangs now fit on those workers and wait for a core or a worker that is taken; what they assert is as strict: nothing else starts, or only what the gang leaves.

--- a/libs/workflows/src/cassiahold/workflows/available_workers.py
+++ b/libs/workflows/src/cassiahold/workflows/available_workers.py
@@ -207,25 +207,30 @@
     return not required_label or required_label in worker.labels
 
 
-def can_do_without(
-    candidate: Candidate,
-    workers: typing.Iterable[WorkerRecord],
-    excluded: typing.Container[WorkerId],
+def would_fit(
+    candidate: Candidate, workers: typing.Iterable[WorkerRecord]
 ) -> bool:
-    """Tell whether a step would fit on the other workers if all was free.
+    """Tell whether a step would fit on some workers if all was free.
 
     One task or a whole gang has to fit.
     """
     fitting_count = sum(
-        count_fitting(candidate.spec.resources, worker.info.capacity)
+        _count_fitting_if_free(candidate, worker.info)
         for worker in workers
-        if worker.info.id not in excluded
-        and is_eligible(candidate, worker.info)
+        if is_eligible(candidate, worker.info)
     )
     required_count = candidate.spec.tasks if candidate.spec.is_gang else 1
     return fitting_count >= required_count
 
 
+def _count_fitting_if_free(candidate: Candidate, worker: WorkerInfo) -> int:
+    spec = candidate.spec
+    fitting_count = count_fitting(spec.resources, worker.capacity)
+    if spec.max_tasks_per_worker:
+        return min(fitting_count, spec.max_tasks_per_worker)
+    return fitting_count
+
+
 def isolation_rank(
     candidate: Candidate, worker: AvailableWorker
 ) -> tuple[int, _PlacementRank]:
--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -7,8 +7,9 @@
 workers against less urgent work, so that a stream of small tasks does not
 starve it.  Other waiting gangs reserve nothing: with several gangs that each
 reserve a part of what they need the cell would be idle while none of them can
-start.  Once the free resources of a gang's allowed workers suffice, they stay
-reserved while its tickets are renewed.
+start.  Nor does a gang that would not fit if all was free.  Once the free
+resources of a gang's allowed workers suffice, they stay reserved while its
+tickets are renewed.
 
 A pass considers only workers that are relevant for a step: those with a ticket
 for it, or those with free resources when an advisor has to be queried.  A step
@@ -33,11 +34,11 @@
 from cassiahold.workflows.available_workers import (
     AvailableWorker,
     CapacityIndex,
-    can_do_without,
     count_fitting,
     isolation_rank,
     placement_rank,
     query_rank,
+    would_fit,
 )
 from cassiahold.workflows.commands import AttemptStart
 from cassiahold.workflows.configuration import QueuePolicy
@@ -456,9 +457,12 @@
         closed = self._closed_workers_by_step.get(candidate.key)
         if closed is None:
             closed = self._isolated_workers
-            if not can_do_without(
-                candidate, self._state.worker_by_id.values(), closed
-            ):
+            others = (
+                worker
+                for worker in self._state.worker_by_id.values()
+                if worker.info.id not in closed
+            )
+            if not would_fit(candidate, others):
                 closed = frozenset()
             self._closed_workers_by_step[candidate.key] = closed
         return closed
@@ -531,7 +535,11 @@
             _task_capacity(candidate, allowed_workers)
             >= task_count * GANG_RESERVATION_SHARE
         )
-        if has_enough_capacity and not self._has_gang_reservation:
+        if (
+            has_enough_capacity
+            and not self._has_gang_reservation
+            and _can_ever_fit(candidate, self._state, self._advisor_replies)
+        ):
             self._has_gang_reservation = True
             self._reserve(candidate, allowed_workers, task_count)
 
@@ -686,6 +694,20 @@
     return sum(worker.count_fitting_tasks(candidate) for worker in workers)
 
 
+def _can_ever_fit(
+    candidate: Candidate,
+    state: WorkflowState,
+    advisor_replies: AdvisorReplyCache,
+) -> bool:
+    """Tell whether a gang would fit on the workers that no advisor denies."""
+    workers = (
+        worker
+        for worker in state.worker_by_id.values()
+        if not advisor_replies.is_denied(candidate.key, worker.info.id)
+    )
+    return would_fit(candidate, workers)
+
+
 def _next_attempt_number(candidate: Candidate, task_index: int) -> int:
     tasks = candidate.record.step(candidate.key).tasks
     if candidate.spec.is_gang:
