--- a/tools/bench/src/cassiahold/bench/experiments/crashing_jobs.py
+++ b/tools/bench/src/cassiahold/bench/experiments/crashing_jobs.py
@@ -10,6 +10,8 @@
     CrashingCell,
     CrashOutcome,
     CrashPolicy,
+)
+from cassiahold.bench.experiments.generated_jobs import (
     JobClass,
     generate_jobs,
     with_other_team,
--- a/tools/bench/tests/test_crashing_cell.py
+++ b/tools/bench/tests/test_crashing_cell.py
@@ -1,16 +1,18 @@
 """Tests of the simulated cell in which some tasks crash their workers."""
 
 from cassiahold.bench.experiments.crashing_cell import (
-    OTHER_TEAM,
     RESTART_S,
     CrashingCell,
     CrashOutcome,
     CrashPolicy,
+)
+from cassiahold.bench.experiments.crashing_jobs import COUNTER_TO_TWO, PRODUCT
+from cassiahold.bench.experiments.generated_jobs import (
+    OTHER_TEAM,
     GeneratedJob,
     JobClass,
     generate_jobs,
 )
-from cassiahold.bench.experiments.crashing_jobs import COUNTER_TO_TWO, PRODUCT
 from cassiahold.bench.experiments.idle_waits import IdleWaits
 from cassiahold.core.ids import JobId, QueueName
 from cassiahold.core.resources import Resources
