--- a/libs/workflows/src/cassiahold/workflows/available_workers.py
+++ b/libs/workflows/src/cassiahold/workflows/available_workers.py
@@ -18,6 +18,7 @@
 from cassiahold.workflows.suspects import (
     has_light_load,
     has_trial,
+    kept_worker_limit,
     loaded_trial_limit,
 )
 from cassiahold.workflows.urgency import Candidate
@@ -147,7 +148,7 @@
 
     def kept_worker_limit(self, service: str) -> int:
         """Return how many workers may be kept for trials of a service."""
-        return loaded_trial_limit(len(self._workers_of(service)))
+        return kept_worker_limit(len(self._workers_of(service)))
 
     def _workers_of(self, service: str) -> list[AvailableWorker]:
         return self._workers_by_service.get(service, [])
--- a/libs/workflows/src/cassiahold/workflows/suspects.py
+++ b/libs/workflows/src/cassiahold/workflows/suspects.py
@@ -27,6 +27,8 @@
 # While less of the capacity is allocated, crashes cost little and no task that
 # could run should wait.
 LIGHT_LOAD_SHARE: typing.Final = 0.5
+# Of a service; for each of them a pass ranks the workers once more.
+MAX_KEPT_WORKERS: typing.Final = 8
 # Of a step whose tasks may all crash their workers.
 MAX_DOUBTED_TRIALS: typing.Final = 2
 # Of the workers of a service, those that are down for a moment included; the
@@ -35,10 +37,15 @@
 
 
 def loaded_trial_limit(worker_count: int) -> int:
-    """Return on how many workers trials have precedence over other work."""
+    """Return on how many workers suspect tasks may be tried under load."""
     return max(int(worker_count * MAX_TRIAL_SHARE), 1)
 
 
+def kept_worker_limit(worker_count: int) -> int:
+    """Return how many workers other work leaves to trials under light load."""
+    return min(loaded_trial_limit(worker_count), MAX_KEPT_WORKERS)
+
+
 def has_light_load(workers: typing.Iterable[WorkerRecord]) -> bool:
     """Tell whether much of the capacity of some workers is free."""
     capacity_m = 0
--- a/libs/workflows/tests/test_suspects.py
+++ b/libs/workflows/tests/test_suspects.py
@@ -1,7 +1,10 @@
 """Tests of the placement of tasks that may crash their workers."""
 
+import collections
+
 import msgspec
 from state_fixtures import (
+    BIG,
     StateFixture,
     attempt_key,
     configuration,
@@ -23,6 +26,7 @@
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import AttemptKey, AttemptOutcome
 from cassiahold.workflows.planning import Planner, PlanningContext
+from cassiahold.workflows.suspects import MAX_KEPT_WORKERS
 
 NOW_S = 10.0
 HALF = Resources(cores_m=2000, memory_mb=2000)
@@ -319,6 +323,21 @@
     assert start.attempt.task.step.job == 'blamed'
 
 
+def test_many_suspects_leave_most_of_a_large_cell_to_other_work() -> None:
+    # A pass over a lightly loaded cell ranked its workers for each suspect.
+    names = [f'w{number:03}' for number in range(200)]
+    cell = StateFixture('crashed', *names)
+    for number in range(30):
+        cell.submit(f'j{number}', step_spec())
+        crash(cell, f'j{number}', 0)
+    cell.submit('sound', step_spec(200, resources=BIG), accepted_at=5.0)
+    jobs = collections.Counter(
+        start.attempt.task.step.job for start in plan_starts(cell)
+    )
+    assert jobs.pop(JobId('sound')) == 200 - MAX_KEPT_WORKERS
+    assert len(jobs) == MAX_KEPT_WORKERS
+
+
 def test_few_tasks_of_a_step_start_after_one_has_crashed_its_worker() -> None:
     # Each task of a job crashed three workers.
     cell = StateFixture('crashed', 'u', 'v', 'w', 'x')
