Start suspect gangs on settled workers only

What callers would see: a sound job beside a gang with a suspect member is suspected, too, and a gang is blamed for the crash of a worker that was already dead.

Cause: the placement of gangs checked neither whether a worker had replied a moment ago nor whether another task had just started there, as that of single tasks does.

Failed before: test_gang_with_a_suspect_does_not_start_on_a_silent_worker (both members on the silent worker), test_gang_with_a_suspect_does_not_start_beside_a_recent_start.

--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -44,7 +44,6 @@
 from cassiahold.workflows.configuration import QueuePolicy
 from cassiahold.workflows.crashes import (
     RECENT_START_S,
-    is_last_start,
     is_suspect,
 )
 from cassiahold.workflows.health import HealthTracker
@@ -512,9 +511,8 @@
         if any(is_suspect(task) for task in records):
             if self._remaining_trials(candidate) <= 0:
                 return
-            workers.sort(key=lambda worker: isolation_rank(candidate, worker))
-        if any(is_last_start(task) for task in records):
             workers = [worker for worker in workers if self._is_settled(worker)]
+            workers.sort(key=lambda worker: isolation_rank(candidate, worker))
         if _task_capacity(candidate, workers) >= task_count:
             self._plan.start_groups.append(
                 self._assign_tasks(candidate, tasks, workers)
--- a/libs/workflows/tests/test_suspects.py
+++ b/libs/workflows/tests/test_suspects.py
@@ -430,4 +430,28 @@
     assert jobs == ['i', 'j', 'other']
 
 
+def test_gang_with_a_suspect_does_not_start_on_a_silent_worker() -> None:
+    # As for a single task: the worker may have crashed unnoticed.
+    cell = StateFixture('crashed', 'v', 'w')
+    cell.submit('j', step_spec(2, is_gang=True))
+    crash(cell, 'j', 0)
+    starts = plan_starts(cell, silent='v')
+    assert {start.worker for start in starts} == {'w'}, starts
+    assert not plan_starts(cell, silent='vw'), 'started on silent workers'
+
+
+def test_gang_with_a_suspect_does_not_start_beside_a_recent_start() -> None:
+    # The crash would be held against the other job as well.
+    cell = StateFixture('crashed', 'w')
+    cell.submit('other', step_spec())
+    other = attempt_key('other', 0, 0)
+    cell.start((other, 'w'))
+    health = HealthTracker()
+    health.record_start(WorkerId('w'), other, NOW_S)
+    cell.submit('j', step_spec(2, is_gang=True))
+    crash(cell, 'j', 0)
+    starts = plan_starts(cell, health)
+    assert not starts, starts
+
+
 load_tests = function_tests(globals())
