Let suspects share trials, and keep few workers free for them

Each suspect had a worker of its own for half a second; every worker that could not take one yet was kept free in each pass and counted as a trial; and the least suspect went first, so that others waited for as long as new ones came.

Tasks that are suspected for one crash only, mostly sound ones, now have their trial together, four at a time. A worker that is kept free is no trial; other work keeps seven tenths of the workers under light load; the worker that settles soonest comes first, and suspects start by urgency. The crash of a single suspect on trial is evidence of its own (TRIAL). Several recent starts make each of them a suspect, but count no more than others towards giving up.

Failed before: test_sound_work_does_not_wait_for_seconds_in_an_idle_cell (5.0 s), test_tasks_of_one_crash_do_not_wait_for_seconds_in_an_idle_cell (4.5 s), test_suspect_that_cannot_start_does_not_hold_back_the_others (10 s), test_long_running_tasks_of_one_crash_are_back_soon_in_a_full_cell (11.5 s), test_trial_that_has_crashed_its_worker_still_counts.

--- a/libs/workflows/src/cassiahold/workflows/attempt_results.py
+++ b/libs/workflows/src/cassiahold/workflows/attempt_results.py
@@ -131,7 +131,7 @@
         task.suspect_score = 0
         step.only_recent_crashes = 0
         return None
-    step.only_recent_crashes += int(result.crash is CrashEvidence.ONLY_RECENT)
+    step.only_recent_crashes += int(result.crash >= CrashEvidence.ONLY_RECENT)
     count_crash(task, result.crash, result.duration_s)
     if task.crash_score >= MAX_CRASH_SCORE:
         return FailureReason.CRASHES
--- a/libs/workflows/src/cassiahold/workflows/available_workers.py
+++ b/libs/workflows/src/cassiahold/workflows/available_workers.py
@@ -34,7 +34,9 @@
     """A worker and the resources that are still free in this pass.
 
     ``planned_tasks_by_step`` counts the tasks that the pass assigned to it.
-    ``has_trial`` is set while it runs a task that may soon crash it.
+    ``has_trial`` is set while it runs a task that may soon crash it, and
+    ``free_group_places`` counts the tasks that may share a trial of this pass.
+    ``is_kept`` is set while it is kept free for a trial.
     """
 
     record: WorkerRecord
@@ -43,6 +45,8 @@
     speed: float
     is_suspect: bool
     has_trial: bool = False
+    free_group_places: int = 0
+    is_kept: bool = False
     planned_tasks_by_step: dict[StepKey, int] = msgspec.field(
         default_factory=dict
     )
--- a/libs/workflows/src/cassiahold/workflows/crashes.py
+++ b/libs/workflows/src/cassiahold/workflows/crashes.py
@@ -28,25 +28,26 @@
     The values are added up in the crash score of the task.  ``PRESENT`` means
     that the attempt was running or may have been, ``RECENT`` that it may have
     started shortly before the crash, ``ONLY_RECENT`` that moreover no attempt
-    of another job on that worker may have.
+    of another job on that worker may have.  ``TRIAL`` means that it was the
+    only such attempt and a trial of a suspect task.
     """
 
     NONE = 0
     PRESENT = 2
     RECENT = 3
     ONLY_RECENT = 4
+    TRIAL = 8
 
 
-# From this score on one more crash may reach the limit.
-LAST_START_CRASH_SCORE: typing.Final = (
-    MAX_CRASH_SCORE - CrashEvidence.ONLY_RECENT
-)
+# From this score on any further crash reaches the limit.
+LAST_START_CRASH_SCORE: typing.Final = MAX_CRASH_SCORE - CrashEvidence.PRESENT
 
 
 def weigh_crash(
     attempts: typing.Iterable[AttemptKey],
     sent_at_by_attempt: typing.Mapping[AttemptKey, float],
     alive_at: float,
+    suspect_attempts: typing.Container[AttemptKey] = (),
 ) -> dict[AttemptKey, CrashEvidence]:
     """Return the evidence of one crash against each attempt of the worker.
 
@@ -62,18 +63,21 @@
         for attempt in evidence_by_attempt
         if sent_at_by_attempt.get(attempt, -math.inf) > recent_since
     ]
-    job_count = len({attempt.task.step.job for attempt in recent_attempts})
-    evidence_by_attempt.update(
-        dict.fromkeys(
-            recent_attempts,
-            CrashEvidence.ONLY_RECENT
-            if job_count == 1
-            else CrashEvidence.RECENT,
-        )
-    )
+    evidence = _weigh_recent(recent_attempts, suspect_attempts)
+    evidence_by_attempt.update(dict.fromkeys(recent_attempts, evidence))
     return evidence_by_attempt
 
 
+def _weigh_recent(
+    recent_attempts: typing.Sequence[AttemptKey],
+    suspect_attempts: typing.Container[AttemptKey],
+) -> CrashEvidence:
+    if len(recent_attempts) == 1 and recent_attempts[0] in suspect_attempts:
+        return CrashEvidence.TRIAL
+    jobs = {attempt.task.step.job for attempt in recent_attempts}
+    return CrashEvidence.ONLY_RECENT if len(jobs) == 1 else CrashEvidence.RECENT
+
+
 def count_crash(
     task: TaskRecord, evidence: CrashEvidence, run_s: float
 ) -> None:
@@ -82,7 +86,10 @@
     ``run_s`` is how long the attempt had run, 0 if unknown.  One that was not
     recent has survived its trial, so the task is no suspect any more.
     """
-    task.crash_score += evidence
+    task.crash_score += (
+        # Any of several tasks may be the cause, which makes each a suspect.
+        CrashEvidence.PRESENT if evidence is CrashEvidence.RECENT else evidence
+    )
     if evidence is CrashEvidence.PRESENT and run_s >= RECENT_START_S:
         task.suspect_score = 0
     else:
@@ -94,6 +101,14 @@
     return task.suspect_score >= SUSPECT_CRASH_SCORE or is_last_start(task)
 
 
+def is_weak_suspect(task: TaskRecord) -> bool:
+    """Tell whether a task is suspected for one crash only."""
+    return (
+        task.suspect_score <= CrashEvidence.ONLY_RECENT
+        and not is_last_start(task)
+    )
+
+
 def is_last_start(task: TaskRecord) -> bool:
     """Tell whether the next crash may be the last one of a task."""
     return task.crash_score >= LAST_START_CRASH_SCORE
--- a/libs/workflows/src/cassiahold/workflows/health.py
+++ b/libs/workflows/src/cassiahold/workflows/health.py
@@ -173,8 +173,19 @@
         self, attempt: AttemptKey, duration_s: float, now: float
     ) -> bool:
         """Tell whether an attempt is known to have started some time ago."""
+        return self.remaining_run_s(attempt, duration_s, now) <= 0
+
+    def remaining_run_s(
+        self, attempt: AttemptKey, duration_s: float, now: float
+    ) -> float:
+        """Return after which time an attempt will have run for a duration.
+
+        The whole duration if its start is not confirmed.
+        """
         progress = self._progress_by_attempt.get(attempt)
-        return progress is not None and now >= progress.started_at + duration_s
+        if progress is None:
+            return duration_s
+        return progress.started_at + duration_s - now
 
     def record_outcome(
         self,
--- a/libs/workflows/src/cassiahold/workflows/planning.py
+++ b/libs/workflows/src/cassiahold/workflows/planning.py
@@ -17,7 +17,6 @@
 """
 
 import bisect
-import collections
 import functools
 import itertools
 import math
@@ -45,15 +44,17 @@
 from cassiahold.workflows.crashes import (
     RECENT_START_S,
     is_suspect,
+    is_weak_suspect,
 )
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import AttemptKey, StepKey, TaskKey, WorkerInfo
 from cassiahold.workflows.state import WorkflowState
 from cassiahold.workflows.steps import active_attempts, startable_tasks
 from cassiahold.workflows.suspects import (
-    is_settled,
+    MAX_GROUP_TASKS,
     isolated_workers,
     select_doubted_tasks,
+    settling_time_s,
 )
 from cassiahold.workflows.team_trials import TeamTrials
 from cassiahold.workflows.urgency import Backlog, Candidate
@@ -121,9 +122,33 @@
         ).run(candidates)
 
 
-class _PostponedTasks(msgspec.Struct):
+class _SuspectTasks(msgspec.Struct, frozen=True):
+    """Suspect tasks of a step; a doubted step has none that run on."""
+
     candidate: Candidate
-    tasks: list[int] = msgspec.field(default_factory=list)
+    tasks: list[int]
+    is_step_doubted: bool
+
+    def split(self) -> tuple[list[int], list[int]]:
+        """Return the tasks that may share a trial, and the others."""
+        if self.is_step_doubted:
+            return [], self.tasks
+        records = self.candidate.record.step(self.candidate.key).tasks
+        weak_tasks = [
+            task for task in self.tasks if is_weak_suspect(records[task])
+        ]
+        strong_tasks = [task for task in self.tasks if task not in weak_tasks]
+        return weak_tasks, strong_tasks
+
+
+class _Trial(msgspec.Struct, frozen=True):
+    """Tasks of a step that start together on a worker.
+
+    Tasks of other steps may join a shared trial.
+    """
+
+    tasks: list[int]
+    is_shared: bool
 
 
 class _PlanningPass:
@@ -144,9 +169,8 @@
         self._silent_workers = context.silent_workers
         self._planned_usage_by_team: dict[TeamName, Resources] = {}
         self._has_gang_reservation = False
-        self._postponed_by_score: collections.defaultdict[
-            int, dict[StepKey, _PostponedTasks]
-        ] = collections.defaultdict(dict)
+        self._postponed_suspects: list[_SuspectTasks] = []
+        self._shared_workers: list[AvailableWorker] = []
         self._kept_workers: list[AvailableWorker] = []
         self._closed_workers_by_step: dict[StepKey, frozenset[WorkerId]] = {}
         self._plan = Plan()
@@ -206,13 +230,17 @@
         if step.is_doubted and not self._has_settled_task(candidate):
             active_count = len(active_attempts(candidate.record, candidate.key))
             tasks = select_doubted_tasks(tasks, step.tasks, active_count)
-            self._place_or_postpone_suspects(candidate, tasks)
+            self._place_or_postpone_suspects(
+                candidate, tasks, is_step_doubted=True
+            )
             return
         records = step.tasks
         suspects = [index for index in tasks if is_suspect(records[index])]
         if suspects:
             tasks = [index for index in tasks if index not in suspects]
-            self._place_or_postpone_suspects(candidate, suspects)
+            self._place_or_postpone_suspects(
+                candidate, suspects, is_step_doubted=False
+            )
         if tasks:
             self._place_tasks(candidate, tasks)
 
@@ -227,90 +255,146 @@
         )
 
     def _place_or_postpone_suspects(
-        self, candidate: Candidate, tasks: list[int]
+        self, candidate: Candidate, tasks: list[int], *, is_step_doubted: bool
     ) -> None:
         if not tasks:
             return
+        suspects = _SuspectTasks(candidate, tasks, is_step_doubted)
         if self._capacity_index.has_light_load(candidate.queue.service):
-            self._postpone_suspects(candidate, tasks)
+            self._postpone_suspects(suspects)
         else:
-            self._place_suspects(candidate, tasks)
+            self._place_suspects(suspects)
 
-    def _postpone_suspects(
-        self, candidate: Candidate, tasks: list[int]
-    ) -> None:
+    def _postpone_suspects(self, suspects: '_SuspectTasks') -> None:
         """Place suspect tasks at the end of the pass, on few kept workers.
 
         Beyond those they take what other work leaves free.
         """
-        records = candidate.record.step(candidate.key).tasks
-        for task in tasks:
-            tasks_by_step = self._postponed_by_score[
-                records[task].suspect_score
-            ]
-            tasks_by_step.setdefault(
-                candidate.key, _PostponedTasks(candidate)
-            ).tasks.append(task)
+        candidate = suspects.candidate
+        self._postponed_suspects.append(suspects)
         kept_count = min(
-            self._count_trials(candidate, tasks),
+            self._count_trials(candidate, suspects.tasks),
             self._count_keepable_workers(candidate.queue.service),
         )
         if kept_count > 0:
-            kept_workers = self._trial_workers(candidate)[:kept_count]
-            for worker in kept_workers:
-                worker.has_trial = True
-            self._kept_workers.extend(kept_workers)
+            self._keep_workers(self._trial_workers(candidate)[:kept_count])
 
     def _count_keepable_workers(self, service: str) -> int:
         kept_count = sum(
-            worker.info.service == service for worker in self._kept_workers
+            worker.is_kept and worker.info.service == service
+            for worker in self._kept_workers
         )
         return self._capacity_index.kept_worker_limit(service) - kept_count
 
-    def _place_postponed_suspects(self) -> None:
-        """Start the least suspect tasks first.
+    def _keep_workers(self, workers: typing.Iterable[AvailableWorker]) -> None:
+        """Keep workers free until the end of the pass."""
+        for worker in workers:
+            worker.is_kept = True
+            self._kept_workers.append(worker)
 
-        Most of them were only near to a task that crashes its workers.
-        """
+    def _place_postponed_suspects(self) -> None:
         for worker in self._kept_workers:
-            worker.has_trial = False
-        for _, tasks_by_step in sorted(self._postponed_by_score.items()):
-            for postponed in tasks_by_step.values():
-                self._place_suspects(postponed.candidate, postponed.tasks)
+            worker.is_kept = False
+        for suspects in self._postponed_suspects:
+            self._place_suspects(suspects)
 
-    def _place_suspects(self, candidate: Candidate, tasks: list[int]) -> None:
-        """Start tasks that may crash their workers, each on another worker.
+    def _place_suspects(self, suspects: '_SuspectTasks') -> None:
+        """Start tasks that may crash their workers, apart from other starts.
 
-        A worker on which other tasks have just started is kept free of further
-        ones until it can take the suspect task.
+        Workers on which other tasks have just started are kept free of further
+        ones until they can have a trial.
         """
-        trial_count = self._count_trials(candidate, tasks)
+        candidate = suspects.candidate
+        weak_tasks, strong_tasks = suspects.split()
+        weak_tasks = self._join_trials(candidate, weak_tasks)
+        trials = [_Trial([task], is_shared=False) for task in strong_tasks]
+        trials.extend(
+            _Trial(weak_tasks[first : first + MAX_GROUP_TASKS], is_shared=True)
+            for first in range(0, len(weak_tasks), MAX_GROUP_TASKS)
+        )
+        trial_count = self._count_trials(candidate, trials)
         if not trial_count:
             return
         workers = self._trial_workers(candidate)
-        for task, worker in zip(tasks[:trial_count], workers, strict=False):
+        for trial, worker in zip(trials[:trial_count], workers, strict=False):
             if self._is_settled(worker):
-                start = self._assign_task(candidate, task, worker)
-                self._plan.start_groups.append([start])
-                self._team_trials.record_start(
-                    worker.info.service, candidate.record.team
-                )
-            worker.has_trial = True
+                self._start_trial(candidate, trial, worker)
+            elif self._count_keepable_workers(candidate.queue.service) > 0:
+                self._keep_workers([worker])
         if len(workers) < trial_count:
             self._query_for_tasks(candidate, trial_count - len(workers))
 
-    def _count_trials(self, candidate: Candidate, tasks: list[int]) -> int:
-        """Return how many of some suspect tasks may start in this pass."""
-        trial_count = min(len(tasks), self._remaining_trials(candidate))
+    def _join_trials(self, candidate: Candidate, tasks: list[int]) -> list[int]:
+        """Start tasks beside others on trial; return those that remain."""
+        remaining = list(reversed(tasks))
+        for worker in self._shared_workers:
+            while remaining and self._can_join_trial(candidate, worker):
+                worker.free_group_places -= 1
+                self._plan.start_groups.append(
+                    [self._assign_task(candidate, remaining.pop(), worker)]
+                )
+        return list(reversed(remaining))
+
+    def _can_join_trial(
+        self, candidate: Candidate, worker: AvailableWorker
+    ) -> bool:
+        return (
+            worker.free_group_places > 0
+            and worker.has_capacity_for(candidate)
+            and worker.is_eligible_for(candidate)
+            and self._may_start_on(candidate, worker)
+            and self._count_within_limit(candidate, 1) > 0
+        )
+
+    def _may_start_on(
+        self, candidate: Candidate, worker: AvailableWorker
+    ) -> bool:
+        """Tell whether neither a pause nor the advisor forbids a start."""
+        if self._health.is_retry_paused(
+            candidate.key.job, worker.info.id, self._now
+        ):
+            return False
+        if candidate.queue.advisor is None:
+            return True
+        ticket = self._advisor_replies.valid_ticket(
+            candidate.key, worker.info, self._now
+        )
+        return ticket is not None
+
+    def _start_trial(
+        self, candidate: Candidate, trial: '_Trial', worker: AvailableWorker
+    ) -> None:
+        """Start the tasks of a trial as far as they fit."""
+        task_count = min(
+            worker.count_fitting_tasks(candidate),
+            self._count_within_limit(candidate, len(trial.tasks)),
+        )
+        for task in trial.tasks[:task_count]:
+            start = self._assign_task(candidate, task, worker)
+            self._plan.start_groups.append([start])
+        worker.has_trial = True
+        self._team_trials.record_start(
+            worker.info.service, candidate.record.team
+        )
+        if trial.is_shared:
+            worker.free_group_places = MAX_GROUP_TASKS - task_count
+            self._shared_workers.append(worker)
+
+    def _count_trials(
+        self, candidate: Candidate, trials: typing.Sequence[object]
+    ) -> int:
+        """Return how many of some trials may start in this pass."""
+        trial_count = min(len(trials), self._remaining_trials(candidate))
         if trial_count <= 0:
             return 0
         return self._count_within_limit(candidate, trial_count)
 
     def _trial_workers(self, candidate: Candidate) -> list[AvailableWorker]:
+        """Return workers for trials, those first that can have one soonest."""
         workers = self._eligible_workers(candidate)
         workers.sort(
             key=lambda worker: (
-                not self._is_settled(worker),
+                self._settling_time_s(worker),
                 isolation_rank(candidate, worker),
             )
         )
@@ -331,11 +415,15 @@
         return min(remaining, self._team_trials.remaining(service, team))
 
     def _is_settled(self, worker: AvailableWorker) -> bool:
+        return not self._settling_time_s(worker)
+
+    def _settling_time_s(self, worker: AvailableWorker) -> float:
+        """Return after which time a worker can have a trial, 0 for now."""
         if worker.planned_tasks_by_step:
-            return False
+            return RECENT_START_S
         if worker.info.id in self._silent_workers:
-            return False
-        return is_settled(worker.record, self._health, self._now)
+            return RECENT_START_S
+        return max(settling_time_s(worker.record, self._health, self._now), 0.0)
 
     def _place_tasks(self, candidate: Candidate, tasks: list[int]) -> None:
         allowed_count = self._count_within_limit(candidate, len(tasks))
@@ -440,6 +528,7 @@
     ) -> bool:
         if (
             worker.has_trial
+            or worker.is_kept
             or worker.info.id in self._closed_workers(candidate)
             or not worker.has_capacity_for(candidate)
             or not worker.is_eligible_for(candidate)
--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -234,7 +234,9 @@
         self.is_failing = True
 
     def weigh_crash(
-        self, attempts: typing.Iterable[AttemptKey]
+        self,
+        attempts: typing.Iterable[AttemptKey],
+        suspect_attempts: typing.Container[AttemptKey] = (),
     ) -> dict[AttemptKey, CrashEvidence]:
         """Return the evidence of this incarnation's crash by attempt."""
         sent_at_by_attempt = {
@@ -248,7 +250,9 @@
             if not self._is_refused(attempt)
         ]
         evidence_by_attempt.update(
-            weigh_crash(started, sent_at_by_attempt, self._alive_at)
+            weigh_crash(
+                started, sent_at_by_attempt, self._alive_at, suspect_attempts
+            )
         )
         return evidence_by_attempt
 
--- a/libs/workflows/src/cassiahold/workflows/suspects.py
+++ b/libs/workflows/src/cassiahold/workflows/suspects.py
@@ -2,9 +2,11 @@
 
 A suspect task is on trial from its start until it has run for
 ``RECENT_START_S``.  Shortly before and meanwhile nothing else starts on
-its worker, so that a crash tells whether the task is the cause.  Under load few
-workers have a trial at the same time, or suspect tasks would crash workers as
-fast as they return.
+its worker, so that a crash tells whether the task is the cause.  Tasks that are
+suspected for one crash only, mostly sound ones beside which another task
+crashed the worker, have their trial together.  Under load few workers have a
+trial at the same time, or suspect tasks would crash workers as fast as they
+return.
 
 A step in which tasks have crashed workers is doubted until one of its tasks has
 run for ``RECENT_START_S`` or has ended well: few of its tasks start at a time,
@@ -24,6 +26,10 @@
 
 # Of the usable workers of a service; at least one may have a trial.
 MAX_TRIAL_SHARE: typing.Final = 0.1
+# Tasks that are suspected for one crash only and have their trial together.
+MAX_GROUP_TASKS: typing.Final = 4
+# Of the usable workers of a service under light load: kept free for trials.
+MAX_KEPT_SHARE: typing.Final = 0.3
 # While less of the capacity is allocated, crashes cost little and no task that
 # could run should wait.
 LIGHT_LOAD_SHARE: typing.Final = 0.5
@@ -43,7 +49,8 @@
 
 def kept_worker_limit(worker_count: int) -> int:
     """Return how many workers other work leaves to trials under light load."""
-    return min(loaded_trial_limit(worker_count), MAX_KEPT_WORKERS)
+    kept_count = int(worker_count * MAX_KEPT_SHARE)
+    return min(max(kept_count, 1), MAX_KEPT_WORKERS)
 
 
 def has_light_load(workers: typing.Iterable[WorkerRecord]) -> bool:
@@ -64,11 +71,16 @@
     )
 
 
-def is_settled(worker: WorkerRecord, health: HealthTracker, now: float) -> bool:
-    """Tell whether no task on a worker has started recently."""
-    return all(
-        health.has_run_for(attempt, RECENT_START_S, now)
-        for attempt in worker.resources_by_attempt
+def settling_time_s(
+    worker: WorkerRecord, health: HealthTracker, now: float
+) -> float:
+    """Return after which time no task on a worker has started recently."""
+    return max(
+        (
+            health.remaining_run_s(attempt, RECENT_START_S, now)
+            for attempt in worker.resources_by_attempt
+        ),
+        default=0.0,
     )
 
 
--- a/programs/cell/src/cassiahold/cell/attempt_ends.py
+++ b/programs/cell/src/cassiahold/cell/attempt_ends.py
@@ -50,7 +50,9 @@
         worker = self._state.worker_by_id.get(session.info.id)
         if worker is None:
             return
-        evidence_by_attempt = session.weigh_crash(worker.resources_by_attempt)
+        evidence_by_attempt = session.weigh_crash(
+            worker.resources_by_attempt, worker.suspect_attempts
+        )
         self._evidence_by_attempt.update(evidence_by_attempt)
         self._metrics.incr('worker_crashed')
         logs.info(
--- a/tools/bench/src/cassiahold/bench/experiments/crashing_cell.py
+++ b/tools/bench/src/cassiahold/bench/experiments/crashing_cell.py
@@ -387,6 +387,7 @@
             record.resources_by_attempt,
             self._sent_at_by_attempt,
             worker.replied_at,
+            record.suspect_attempts,
         )
         worker.info = msgspec.structs.replace(
             worker.info, incarnation=worker.info.incarnation + 1
