Estimate when a refused caller should try again

Every 429 and 503 told callers to return after 1 s, whatever the cause: all those of one second return in the same second, before a queue has drained or a leader is elected, or after their own deadline.

Not used yet.

--- a/libs/core/src/cassiahold/core/conf/settings.py
+++ b/libs/core/src/cassiahold/core/conf/settings.py
@@ -86,6 +86,23 @@
         return {host.name: host for host in self.hosts}
 
 
+class RetrySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """When refused callers are told to try again."""
+
+    # Shortest pause before another try.
+    min_delay_s: _Seconds = 0.05
+    # Pause when nothing is known about the cause of the refusal.
+    default_delay_s: _Seconds = 1.0
+    # Longest pause; must be less than callers are ready to wait.
+    max_delay_s: _Seconds = 30.0
+    # Callers with less time left than this return before others.
+    urgent_time_left_s: _Seconds = 2.0
+    # Returns per second while the drain rate is unknown.
+    default_rate_per_s: typing.Annotated[
+        float, msgspec.Meta(gt=0, le=MAX_COUNT)
+    ] = 50.0
+
+
 class TlsSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Encryption of the connections between the system's processes."""
 
@@ -112,6 +129,7 @@
     max_body_bytes: _Count = 1_000_000
     # Live requests of one team that may wait at one gateway.
     team_queue_length: _Count = 200
+    retry: RetrySettings = msgspec.field(default_factory=RetrySettings)
     # How long a graceful stop waits for requests in progress.
     drain_s: _Seconds = 30.0
     # Number of log records after which a snapshot replaces them.
@@ -159,6 +177,17 @@
     return Settings(host, cell, own, path.parent)
 
 
+def check_retry_settings(retry: RetrySettings) -> None:
+    """Raise ``BAD_SETTINGS`` unless the pauses are in ascending order."""
+    if not retry.min_delay_s <= retry.default_delay_s <= retry.max_delay_s:
+        raise CassiaholdError(
+            ErrorKind.BAD_SETTINGS,
+            f'retry.default_delay_s is {retry.default_delay_s} but must be '
+            f'from min_delay_s ({retry.min_delay_s}) to max_delay_s '
+            f'({retry.max_delay_s})',
+        )
+
+
 def _settings_error(path: pathlib.Path, detail: str) -> CassiaholdError:
     return CassiaholdError(ErrorKind.BAD_SETTINGS, f'{path}: {detail}')
 
@@ -177,6 +206,10 @@
         )
     if host.statsd_address:
         _check_address(host.statsd_address, 'statsd_address', path)
+    try:
+        check_retry_settings(host.retry)
+    except CassiaholdError as exc:
+        raise _settings_error(path, exc.detail) from exc
 
 
 def _check_cell(cell: CellSettings, path: pathlib.Path) -> None:
--- a/libs/core/src/cassiahold/core/exceptions.py
+++ b/libs/core/src/cassiahold/core/exceptions.py
@@ -26,6 +26,7 @@
     VERSION_CONFLICT = 'version_conflict'
     NEVER_FITS = 'never_fits'
     OVERLOADED = 'overloaded'
+    DEADLINE_TOO_SHORT = 'deadline_too_short'
     DEADLINE_PASSED = 'deadline_passed'
     LEAVING = 'leaving'
     CONFIGURATION_EXPIRED = 'configuration_expired'
@@ -130,6 +131,11 @@
         'A queue is full.',
         retry=RetryAdvice.RETRY_LATER,
     ),
+    ErrorKind.DEADLINE_TOO_SHORT: _response(
+        429,
+        'RESOURCE_EXHAUSTED',
+        'The work cannot be served before its deadline.',
+    ),
     ErrorKind.DEADLINE_PASSED: _response(
         504,
         'DEADLINE_EXCEEDED',
@@ -206,16 +212,38 @@
 }
 
 
+class RetryHint(msgspec.Struct, frozen=True):
+    """What the place that refused a request knows about a later try.
+
+    Attributes:
+        earliest_s: Time after which a try has a fair chance.
+        drain_rate_per_s: Requests served per second then, 0 if unknown.
+        is_saturated: Whether no more than that can be served.
+        service_s: How long serving the request takes, 0 if unknown.
+    """
+
+    earliest_s: float
+    drain_rate_per_s: float = 0.0
+    is_saturated: bool = False
+    service_s: float = 0.0
+
+
 class CassiaholdError(Exception):
     """An error that is reported to a caller or an operator by its kind.
 
     ``detail`` names the offending value and what was expected instead.
+    ``hint`` comes from the place that refused the request; ``retry_after_s``
+    is the pause that its caller is told, None without one.
     """
 
-    def __init__(self, kind: ErrorKind, detail: str) -> None:
+    def __init__(
+        self, kind: ErrorKind, detail: str, hint: RetryHint | None = None
+    ) -> None:
         super().__init__(f'{kind.value}: {detail}')
         self.kind = kind
         self.detail = detail
+        self.hint = hint
+        self.retry_after_s: float | None = None
 
     @property
     def response(self) -> ErrorResponse:
--- a/libs/core/tests/test_core.py
+++ b/libs/core/tests/test_core.py
@@ -81,6 +81,9 @@
     assert 'at least twice' in error_detail(
         cell=CELL + 'timing: {worker_lease_s: 1.5}\n'
     )
+    assert 'to max_delay_s (0.5)' in error_detail(
+        HOST + 'retry: {max_delay_s: 0.5}\n'
+    )
 
 
 def test_names_and_addresses_are_checked() -> None:
