Tell refused callers when a later try has a fair chance

Cause: the platform's and the gateway's responses carried a fixed Retry-After of 1 s with every 429 and 503.

The place that refuses a request now describes its load in the error's hint: a process without leader the time that an election still takes and the rate at which the leader replied to it, the RPC server the calls in progress and the rate at which they end. The HTTP application knows the caller and its deadline and chooses the pause (RefusalPolicy); platform/ only passes it on. A pause that lies after the caller's deadline is not given; the response says "do not retry" and the detail says why. Retry-After has whole seconds, rounded up; Cassiahold-Retry-After-Ms the exact pause. The log line of a refusal and the histogram retry_after.KIND carry kind and pause. A live request that another data centre refused keeps these headers.

A process that has just started said "no leader for" the host's uptime; it says the time since its start now.

--- a/libs/core/src/cassiahold/core/conf/settings.py
+++ b/libs/core/src/cassiahold/core/conf/settings.py
@@ -92,7 +92,7 @@
     # Shortest pause before another try.
     min_delay_s: _Seconds = 0.05
     # Pause when nothing is known about the cause of the refusal.
-    default_delay_s: _Seconds = 1.0
+    default_delay_s: _Seconds = 0.5
     # Longest pause; must be less than callers are ready to wait.
     max_delay_s: _Seconds = 30.0
     # Callers with less time left than this return before others.
--- a/libs/core/src/cassiahold/core/exceptions.py
+++ b/libs/core/src/cassiahold/core/exceptions.py
@@ -220,20 +220,32 @@
         drain_rate_per_s: Requests served per second then, 0 if unknown.
         is_saturated: Whether no more than that can be served.
         service_s: How long serving the request takes, 0 if unknown.
+        resource: Name of what is short, if several things can be.
     """
 
     earliest_s: float
     drain_rate_per_s: float = 0.0
     is_saturated: bool = False
     service_s: float = 0.0
+    resource: str = ''
+
+
+class RetryAfter(msgspec.Struct, frozen=True):
+    """The pause before another try that a refused caller is told.
+
+    ``whole_s`` is the pause in whole seconds, None if none is in time.
+    """
+
+    delay_s: float
+    whole_s: int | None = None
 
 
 class CassiaholdError(Exception):
     """An error that is reported to a caller or an operator by its kind.
 
     ``detail`` names the offending value and what was expected instead.
-    ``hint`` comes from the place that refused the request; ``retry_after_s``
-    is the pause that its caller is told, None without one.
+    ``hint`` comes from the place that refused the request; ``retry_after``
+    is what its caller is told, None if it should not try again.
     """
 
     def __init__(
@@ -243,7 +255,7 @@
         self.kind = kind
         self.detail = detail
         self.hint = hint
-        self.retry_after_s: float | None = None
+        self.retry_after: RetryAfter | None = None
 
     @property
     def response(self) -> ErrorResponse:
--- a/libs/core/src/cassiahold/core/metrics.py
+++ b/libs/core/src/cassiahold/core/metrics.py
@@ -7,7 +7,7 @@
 
 _MS_PER_S: typing.Final = 1000
 # Upper bounds of the histogram buckets, from the duration of one disk sync to
-# the time that a caller waits for a reply.
+# the longest pause of a refused caller.
 DURATION_BUCKETS_S: typing.Final = (
     0.002,
     0.005,
@@ -21,6 +21,7 @@
     2.0,
     5.0,
     10.0,
+    30.0,
 )
 
 
--- a/libs/core/tests/test_core.py
+++ b/libs/core/tests/test_core.py
@@ -81,8 +81,8 @@
     assert 'at least twice' in error_detail(
         cell=CELL + 'timing: {worker_lease_s: 1.5}\n'
     )
-    assert 'to max_delay_s (0.5)' in error_detail(
-        HOST + 'retry: {max_delay_s: 0.5}\n'
+    assert 'to max_delay_s (0.2)' in error_detail(
+        HOST + 'retry: {max_delay_s: 0.2}\n'
     )
 
 
--- a/libs/wire/src/cassiahold/wire/group_client.py
+++ b/libs/wire/src/cassiahold/wire/group_client.py
@@ -94,7 +94,7 @@
             raise _TryNextReplicaError(exc) from exc
         if not isinstance(reply, Refusal):
             return reply
-        refusal_error = CassiaholdError(reply.kind, reply.detail)
+        refusal_error = CassiaholdError(reply.kind, reply.detail, reply.hint)
         if reply.kind in {ErrorKind.NO_QUORUM, ErrorKind.OUTCOME_UNKNOWN}:
             is_known = reply.leader in self._channel_by_replica
             self._leader = (
--- a/libs/wire/src/cassiahold/wire/messages.py
+++ b/libs/wire/src/cassiahold/wire/messages.py
@@ -12,7 +12,7 @@
 from cassiahold.cellstate.jobs import JobSpec
 from cassiahold.cellstate.quotas import QuotaOffer, ResourceTotals
 from cassiahold.config.document import Configuration, Key
-from cassiahold.core.exceptions import ErrorKind
+from cassiahold.core.exceptions import ErrorKind, RetryHint
 from cassiahold.core.ids import (
     AttemptId,
     DataCentre,
@@ -466,11 +466,15 @@
 
 
 class Refusal(msgspec.Struct, frozen=True, tag='refusal'):
-    """The request failed; ``leader`` may be able to serve it."""
+    """The request failed; ``leader`` may be able to serve it.
+
+    ``hint`` describes the load of the process that refused it.
+    """
 
     kind: ErrorKind
     detail: str
     leader: ReplicaId | None = None
+    hint: RetryHint | None = None
 
 
 Request = (
--- a/libs/wire/src/cassiahold/wire/replica_server.py
+++ b/libs/wire/src/cassiahold/wire/replica_server.py
@@ -112,7 +112,7 @@
         except NotLeaderError as exc:
             return Refusal(exc.kind, exc.detail, exc.leader)
         except CassiaholdError as exc:
-            return Refusal(exc.kind, exc.detail)
+            return Refusal(exc.kind, exc.detail, hint=exc.hint)
         except pykka.ActorDeadError:
             return Refusal(ErrorKind.NO_QUORUM, 'the replica has stopped')
 
--- a/libs/wire/src/cassiahold/wire/transport.py
+++ b/libs/wire/src/cassiahold/wire/transport.py
@@ -15,7 +15,9 @@
 
 from cassiahold.agreement.messages import Envelope, EnvelopeBatch
 from cassiahold.core import logs, tracing
-from cassiahold.core.exceptions import CassiaholdError, ErrorKind
+from cassiahold.core.clock import boottime_s
+from cassiahold.core.drain_rate import DrainRate
+from cassiahold.core.exceptions import CassiaholdError, ErrorKind, RetryHint
 from cassiahold.core.ids import GroupName
 from cassiahold.core.metrics import Metrics, NullMetrics
 from cassiahold.wire.messages import Refusal, Reply, Request
@@ -115,9 +117,10 @@
         self._handler = handler
         self._receiver = receiver
         reserved_threads = max(1, threads // THREADS_PER_RESERVED_THREAD)
-        self._call_slots = threading.Semaphore(
-            max(1, threads - reserved_threads)
-        )
+        self._max_calls = max(1, threads - reserved_threads)
+        self._call_slots = threading.Semaphore(self._max_calls)
+        self._drain_rate_lock = threading.Lock()
+        self._drain_rate = DrainRate()
         self._server = grpc.server(
             concurrent.futures.ThreadPoolExecutor(
                 threads, thread_name_prefix='call'
@@ -149,11 +152,28 @@
     def _call(self, payload: bytes, _: typing.Any) -> bytes:
         if not self._call_slots.acquire(blocking=False):
             self._metrics.incr('calls_refused')
-            return _encode(Refusal(ErrorKind.OVERLOADED, 'too many calls'))
+            return _encode(
+                Refusal(
+                    ErrorKind.OVERLOADED,
+                    f'too many calls: {self._max_calls} are in progress',
+                    hint=self._backlog_hint(),
+                )
+            )
         try:
             return self._handle_call(payload)
         finally:
             self._call_slots.release()
+            with self._drain_rate_lock:
+                self._drain_rate.record_completion(boottime_s())
+
+    def _backlog_hint(self) -> RetryHint | None:
+        """Return when the calls in progress will have been handled."""
+        with self._drain_rate_lock:
+            rate_per_s = self._drain_rate.rate_per_s(boottime_s())
+        if not rate_per_s:
+            return None
+        backlog_s = self._max_calls / rate_per_s
+        return RetryHint(backlog_s, rate_per_s, is_saturated=True)
 
     def _handle_call(self, payload: bytes) -> bytes:
         try:
--- a/libs/wire/tests/test_transport.py
+++ b/libs/wire/tests/test_transport.py
@@ -298,6 +298,40 @@
     assert len(refused) == 5
 
 
+def test_refused_call_tells_when_the_backlog_is_gone() -> None:
+    address = free_address()
+    may_reply = threading.Event()
+    may_reply.set()
+
+    def wait(group: GroupName, request: Request) -> Reply:
+        may_reply.wait(5.0)
+        return ConfigurationChanged(1)
+
+    with (
+        server(address, wait),
+        contextlib.closing(Channel(address, PLAIN)) as channel,
+    ):
+        started_at = time.monotonic()
+        while time.monotonic() < started_at + 0.7:
+            channel.call(GROUP, GetStatus(), 5.0)
+        may_reply.clear()
+        callers = [
+            threading.Thread(target=channel.call, args=(GROUP, GetStatus(), 5))
+            for _ in range(3)
+        ]
+        for caller in callers:
+            caller.start()
+        time.sleep(0.3)
+        refusal = channel.call(GROUP, GetStatus(), 5.0)
+        may_reply.set()
+        for caller in callers:
+            caller.join()
+    assert isinstance(refusal, Refusal)
+    assert refusal.hint is not None
+    assert refusal.hint.is_saturated
+    assert 0 < refusal.hint.earliest_s < 0.5
+
+
 def test_an_error_names_an_address_in_use() -> None:
     address = free_address()
     with server(address, lambda *_: ConfigurationChanged(1)):
--- a/programs/cell/src/cassiahold/cell/leader_client.py
+++ b/programs/cell/src/cassiahold/cell/leader_client.py
@@ -65,6 +65,7 @@
         self._local_handler = local_handler
         self._lock = threading.Lock()
         self._channel_by_address: dict[str, Channel] = {}
+        self._created_at = boottime_s()
         self._leader_replied_at = -1.0
         self._is_leader_reachable = True
         self._stack = contextlib.ExitStack()
@@ -85,6 +86,10 @@
         """Return the seconds since a leader last replied."""
         return boottime_s() - self._leader_replied_at
 
+    def outage_s(self) -> float:
+        """Return how long no leader has replied, since the start at most."""
+        return boottime_s() - max(self._leader_replied_at, self._created_at)
+
     def call_leader(
         self,
         request: typing.Any,
@@ -178,7 +183,7 @@
         if isinstance(reply, Refusal):
             if reply.kind is ErrorKind.NO_QUORUM:
                 self._directory.suggest_leader(reply.leader)
-            raise CassiaholdError(reply.kind, reply.detail)
+            raise CassiaholdError(reply.kind, reply.detail, reply.hint)
         return reply
 
     def _call_remote(
--- a/programs/cell/src/cassiahold/cell/node.py
+++ b/programs/cell/src/cassiahold/cell/node.py
@@ -41,10 +41,12 @@
 )
 from cassiahold.core import logs
 from cassiahold.core.clock import boottime_s
+from cassiahold.core.conf.settings import check_retry_settings
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import GroupName, ReplicaId
 from cassiahold.core.metrics import Metrics
 from cassiahold.journal import Journal
+from cassiahold.routing.refusal_hints import RefusalHints
 from cassiahold.wire.security import TransportSecurity
 from cassiahold.wire.transport import Channel, PeerSender, RpcServer
 
@@ -70,6 +72,7 @@
         workers: WorkerClient | None = None,
         advisor: AdvisorClient | None = None,
     ) -> None:
+        check_retry_settings(settings.retry)
         self._settings = settings
         self._security = security
         self._advisor = advisor
@@ -79,6 +82,7 @@
         self._peer_sender_by_address: dict[str, PeerSender] = {}
         self._replica: pykka.ActorRef[Replica] | None = None
         self._own_id = ReplicaId('')
+        self._refusal_hints = RefusalHints(settings.election_s)
         self._request_sender: ThreadedRequestSender | None = None
         self.directory = ReplicaDirectory(settings.seeds)
         self.leader_client = LeaderClient(
@@ -134,14 +138,15 @@
         Raises ``NO_QUORUM`` at once while no leader replies; a background
         thread keeps locating one.
         """
-        silence_s = self.leader_client.leader_silence_s()
-        if silence_s > MAX_LEADER_SILENCE_S:
-            raise CassiaholdError(
-                ErrorKind.NO_QUORUM, f'no leader for {silence_s:.1f} s'
+        try:
+            reply = self._call_leader(request, timeout_s, resolve_timeout_s)
+        except CassiaholdError as exc:
+            self._refusal_hints.complete(
+                exc, self.leader_client.outage_s(), boottime_s()
             )
-        return self.leader_client.call_leader(
-            request, timeout_s, resolve_timeout_s
-        )
+            raise
+        self._refusal_hints.record_reply(boottime_s())
+        return reply
 
     def handle(self, request: typing.Any) -> typing.Any:
         """Handle a request in this process; errors become refusals."""
@@ -150,7 +155,7 @@
         except NotLeaderError as exc:
             return requests.make_refusal(exc.kind, exc.detail, exc.leader)
         except CassiaholdError as exc:
-            return requests.make_refusal(exc.kind, exc.detail)
+            return requests.make_refusal(exc.kind, exc.detail, hint=exc.hint)
         except pykka.ActorDeadError:
             return requests.make_refusal(
                 ErrorKind.NO_QUORUM, 'the replica has stopped'
@@ -165,6 +170,18 @@
 
     # Requests.
 
+    def _call_leader(
+        self, request: typing.Any, timeout_s: float, resolve_timeout_s: float
+    ) -> typing.Any:
+        if self.leader_client.leader_silence_s() > MAX_LEADER_SILENCE_S:
+            outage_s = self.leader_client.outage_s()
+            raise CassiaholdError(
+                ErrorKind.NO_QUORUM, f'no leader for {outage_s:.1f} s'
+            )
+        return self.leader_client.call_leader(
+            request, timeout_s, resolve_timeout_s
+        )
+
     def _handle_group(self, _: GroupName, request: typing.Any) -> typing.Any:
         return self.handle(request)
 
--- a/programs/cell/src/cassiahold/cell/requests.py
+++ b/programs/cell/src/cassiahold/cell/requests.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from cassiahold.agreement.messages import Membership
-from cassiahold.core.exceptions import ErrorKind
+from cassiahold.core.exceptions import ErrorKind, RetryHint
 from cassiahold.core.ids import ReplicaId, WorkerId
 from cassiahold.wire.messages import Refusal
 from cassiahold.wire.transport import make_codec
@@ -177,7 +177,10 @@
 
 
 def make_refusal(
-    kind: ErrorKind, detail: str, leader: ReplicaId | None = None
+    kind: ErrorKind,
+    detail: str,
+    leader: ReplicaId | None = None,
+    hint: RetryHint | None = None,
 ) -> Refusal:
     """Return the reply for an error, naming the leader if it is known."""
-    return Refusal(kind, detail, leader)
+    return Refusal(kind, detail, leader, hint)
--- a/programs/cell/src/cassiahold/cell/settings.py
+++ b/programs/cell/src/cassiahold/cell/settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from cassiahold.agreement.node import RaftTiming
+from cassiahold.core.conf.settings import RetrySettings
 from cassiahold.core.ids import DataCentre, GroupName, HostName
 
 GROUP: typing.Final = GroupName('cell')
@@ -61,6 +62,7 @@
     finished_job_retention_s: float = FINISHED_JOB_RETENTION_S
     worker_bounds: WorkerBounds = WorkerBounds()
     listen_address: str = ''
+    retry: RetrySettings = RetrySettings()
 
     @property
     def bind_address(self) -> str:
--- a/programs/gateway/src/cassiahold/gateway/http.py
+++ b/programs/gateway/src/cassiahold/gateway/http.py
@@ -4,6 +4,7 @@
 error it was and whether the request can have taken effect.
 """
 
+import math
 import re
 import time
 import typing
@@ -11,12 +12,20 @@
 import msgspec
 
 from cassiahold.core import logs, tracing
+from cassiahold.core.conf.settings import RetrySettings
 from cassiahold.core.exceptions import (
     CassiaholdError,
     ErrorKind,
     ExecutionStatus,
 )
+from cassiahold.core.ids import TeamName
 from cassiahold.core.metrics import Metrics
+from cassiahold.gateway.refusals import (
+    RefusalPolicy,
+    retry_advice,
+    retry_headers,
+)
+from cassiahold.routing.retry_after import RefusedCaller
 
 _Decoded = typing.TypeVar('_Decoded')
 _REASON_BY_STATUS: typing.Final = {
@@ -38,6 +47,9 @@
 }
 RAN_HEADER: typing.Final = 'Cassiahold-Ran'
 ERROR_KIND_HEADER: typing.Final = 'Cassiahold-Error'
+DEADLINE_HEADER: typing.Final = 'Cassiahold-Deadline-S'
+WAITED_HEADER: typing.Final = 'Cassiahold-Waited-S'
+_BEARER_SCHEME: typing.Final = 'Bearer '
 # Key of the WSGI environment; when True the server closes the connection after
 # the response.  WSGI applications may not set the Connection header.
 CLOSE_CONNECTION_KEY: typing.Final = 'cassiahold.close_connection'
@@ -148,20 +160,45 @@
     """Return the response for an error, as the table of error kinds says."""
     row = exc.response
     body = ErrorBody(
-        exc.kind.value, exc.detail, row.execution.value, row.retry.value
+        exc.kind.value,
+        exc.detail,
+        row.execution.value,
+        retry_advice(exc).value,
     )
     headers = [
         (ERROR_KIND_HEADER, exc.kind.value),
         (RAN_HEADER, row.execution.value),
+        *retry_headers(exc),
     ]
-    if row.http_status in {429, 503}:
-        headers.append(('Retry-After', '1'))
     return HttpResponse(
         row.http_status, msgspec.json.encode(body), headers=headers
     )
 
 
+def describe_caller(request: HttpRequest) -> RefusedCaller:
+    """Return who sent a request and how long it waits for the response.
+
+    Callers are told apart by the public part of their key.
+    """
+    key = request.header('Authorization').removeprefix(_BEARER_SCHEME)
+    return RefusedCaller(
+        TeamName(key.partition('.')[0]),
+        seconds_or_default(request.header(DEADLINE_HEADER), math.inf),
+        seconds_or_default(request.header(WAITED_HEADER), 0.0),
+    )
+
+
+def seconds_or_default(text: str, default_s: float) -> float:
+    """Return a duration of a header, the default if it is not valid."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return default_s
+    return seconds if seconds >= 0 else default_s
+
+
 Handler = typing.Callable[[HttpRequest], HttpResponse]
+CallerDescriber = typing.Callable[[HttpRequest], RefusedCaller]
 ErrorFormatter = typing.Callable[[CassiaholdError], HttpResponse]
 
 
@@ -184,7 +221,8 @@
 class Application:
     """The WSGI application: routes requests and formats every error.
 
-    ``format_error`` turns an error into its response.
+    ``format_error`` turns an error into its response; ``caller_of`` describes
+    the sender of a request that was refused.
     """
 
     def __init__(
@@ -192,10 +230,16 @@
         routes: list[Route],
         metrics: Metrics,
         format_error: ErrorFormatter = error_response,
+        caller_of: CallerDescriber = describe_caller,
+        refusal_policy: RefusalPolicy | None = None,
     ) -> None:
         self._routes = routes
         self._format_error = format_error
+        self._caller_of = caller_of
         self._metrics = metrics
+        self._refusal_policy = refusal_policy or RefusalPolicy(
+            RetrySettings(), metrics
+        )
 
     def __call__(
         self,
@@ -205,7 +249,7 @@
         """Handle one request (WSGI)."""
         started_at = time.monotonic()
         request = HttpRequest(environ)
-        response = self._respond(request)
+        response = self._respond(request, started_at)
         self._metrics.timing('http', (time.monotonic() - started_at) * 1000)
         received_bytes = int(environ.get('CONTENT_LENGTH') or 0)
         self._metrics.incr('http_bytes', received_bytes + len(response.body))
@@ -221,22 +265,13 @@
         )
         return [response.body]
 
-    def _respond(self, request: HttpRequest) -> HttpResponse:
+    def _respond(self, request: HttpRequest, started_at: float) -> HttpResponse:
         try:
             return self._dispatch(request)
         except CassiaholdError as exc:
             self._metrics.incr(f'error.{exc.kind.value}')
-            may_have_run = (
-                exc.response.execution is ExecutionStatus.MAY_HAVE_RUN
-            )
-            log = logs.warning if may_have_run else logs.info
-            log(
-                'request_failed' if may_have_run else 'request_refused',
-                method=request.method,
-                path=request.path,
-                kind=exc.kind.value,
-                detail=exc.detail,
-            )
+            self._set_pause(exc, request, started_at)
+            _log_error(exc, request)
             return self._format_error(exc)
         except Exception as exc:  # noqa: BLE001
             logs.error('handler_fault', path=request.path, error=repr(exc))
@@ -244,6 +279,22 @@
                 CassiaholdError(ErrorKind.INTERNAL, type(exc).__name__)
             )
 
+    def _set_pause(
+        self, exc: CassiaholdError, request: HttpRequest, started_at: float
+    ) -> None:
+        now = time.monotonic()
+        caller = self._caller_of(request)
+        elapsed_s = now - started_at
+        self._refusal_policy.apply(
+            exc,
+            msgspec.structs.replace(
+                caller,
+                time_left_s=caller.time_left_s - elapsed_s,
+                waited_s=caller.waited_s + elapsed_s,
+            ),
+            now,
+        )
+
     def _dispatch(self, request: HttpRequest) -> HttpResponse:
         is_known_path = False
         for candidate in self._routes:
@@ -264,3 +315,19 @@
         raise CassiaholdError(
             ErrorKind.NOT_FOUND, f'path {request.path!r} does not exist'
         )
+
+
+def _log_error(exc: CassiaholdError, request: HttpRequest) -> None:
+    may_have_run = exc.response.execution is ExecutionStatus.MAY_HAVE_RUN
+    log = logs.warning if may_have_run else logs.info
+    pause: dict[str, float] = {}
+    if exc.retry_after is not None:
+        pause['retry_after_s'] = exc.retry_after.delay_s
+    log(
+        'request_failed' if may_have_run else 'request_refused',
+        method=request.method,
+        path=request.path,
+        kind=exc.kind.value,
+        detail=exc.detail,
+        **pause,
+    )
--- a/programs/gateway/src/cassiahold/gateway/live.py
+++ b/programs/gateway/src/cassiahold/gateway/live.py
@@ -18,6 +18,10 @@
     HttpResponse,
 )
 from cassiahold.gateway.proxy import REQUEST_ID_HEADER, LiveRequest, Proxy
+from cassiahold.gateway.refusals import (
+    RETRY_AFTER_HEADER,
+    RETRY_AFTER_MS_HEADER,
+)
 from cassiahold.gateway.upstream import Upstream, send_request
 
 _CONNECT_TIMEOUT_S: typing.Final = 0.5  # to a gateway elsewhere
@@ -27,6 +31,8 @@
     REQUEST_ID_HEADER,
     ERROR_KIND_HEADER,
     RAN_HEADER,
+    RETRY_AFTER_HEADER,
+    RETRY_AFTER_MS_HEADER,
 )
 
 
--- a/programs/gateway/src/cassiahold/gateway/main.py
+++ b/programs/gateway/src/cassiahold/gateway/main.py
@@ -22,6 +22,7 @@
 )
 from cassiahold.gateway.live import LiveService
 from cassiahold.gateway.proxy import Proxy
+from cassiahold.gateway.refusals import RefusalPolicy
 from cassiahold.gateway.router import RouterRef, start_router
 from cassiahold.gateway.scheduler_groups import SchedulerGroups
 from cassiahold.wire.clients import (
@@ -81,13 +82,15 @@
     _start_periodic_threads(settings, stack, authorizer, router)
     request_tracker = RequestTracker()
     routes = _routes(settings, stack, authorizer, router)
+    metrics = create_metrics(settings.host.statsd_address, 'cassiahold.gateway')
     server = HttpServer(
         Application(
             [
                 request_tracker.health_route(),
                 *map(request_tracker.track, routes),
             ],
-            create_metrics(settings.host.statsd_address, 'cassiahold.gateway'),
+            metrics,
+            refusal_policy=RefusalPolicy(settings.host.retry, metrics),
         ),
         settings.own_host.gateway,
         settings.host.http_threads,
@@ -103,7 +106,10 @@
     authorizer: Authorizer,
     router: RouterRef,
 ) -> list[Route]:
-    scheduler_groups = SchedulerGroups(open_scheduler_clients(settings, stack))
+    scheduler_groups = SchedulerGroups(
+        open_scheduler_clients(settings, stack),
+        settings.cell.timing.election_s,
+    )
     proxy = Proxy(router, settings.host.max_body_bytes)
     stack.callback(proxy.close)
     live_service = LiveService(settings, proxy)
--- a/programs/gateway/src/cassiahold/gateway/scheduler_groups.py
+++ b/programs/gateway/src/cassiahold/gateway/scheduler_groups.py
@@ -7,10 +7,12 @@
 """
 
 import hashlib
+import time
 import typing
 
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import GroupName, JobId, TeamName
+from cassiahold.routing.refusal_hints import RefusalHints
 from cassiahold.wire.group_client import GroupClient
 from cassiahold.wire.messages import (
     Cancel,
@@ -27,9 +29,18 @@
 class SchedulerGroups:
     """Clients of all scheduler groups, by group name."""
 
-    def __init__(self, client_by_group: dict[GroupName, GroupClient]) -> None:
+    def __init__(
+        self,
+        client_by_group: dict[GroupName, GroupClient],
+        election_s: float,
+    ) -> None:
         self._client_by_group = client_by_group
         self._names = sorted(client_by_group)
+        self._hints_by_group = {
+            name: RefusalHints(election_s) for name in client_by_group
+        }
+        # When the first of the latest failed calls of each group began.
+        self._failing_since_by_group: dict[GroupName, float] = {}
 
     @property
     def names(self) -> list[GroupName]:
@@ -71,7 +82,26 @@
                 f'data centre {group!r} does not exist; known data centres: '
                 f'{", ".join(self._names)}',
             )
-        return client.call(request, timeout_s, traceparent)
+        started_at = time.monotonic()
+        try:
+            reply = client.call(request, timeout_s, traceparent)
+        except CassiaholdError as exc:
+            self._complete_hint(exc, group, started_at)
+            raise
+        self._failing_since_by_group.pop(group, None)
+        self._hints_by_group[group].record_reply(time.monotonic())
+        return reply
+
+    def _complete_hint(
+        self, exc: CassiaholdError, group: GroupName, started_at: float
+    ) -> None:
+        failing_since = started_at
+        if exc.kind is ErrorKind.NO_QUORUM:
+            failing_since = self._failing_since_by_group.setdefault(
+                group, started_at
+            )
+        now = time.monotonic()
+        self._hints_by_group[group].complete(exc, now - failing_since, now)
 
     def cancel_jobs(
         self, jobs: list[JobId], team: TeamName | None
--- a/programs/gateway/tests/test_gateway.py
+++ b/programs/gateway/tests/test_gateway.py
@@ -21,7 +21,7 @@
     Team,
     new_key,
 )
-from cassiahold.core.exceptions import CassiaholdError, ErrorKind
+from cassiahold.core.exceptions import CassiaholdError, ErrorKind, RetryHint
 from cassiahold.core.ids import GroupName, JobId, KeyId, TeamName
 from cassiahold.core.metrics import NullMetrics
 from cassiahold.core.testing import expect_error, function_tests
@@ -77,7 +77,7 @@
         self.authorizer = Authorizer('', '')
         self.authorizer.update(leased(lease_s))
         self.scheduler_groups = SchedulerGroups(
-            typing.cast(typing.Any, self.groups)
+            typing.cast(typing.Any, self.groups), election_s=1.0
         )
         self.request_tracker = RequestTracker()
         handlers = CallerHandlers(
@@ -140,6 +140,54 @@
     assert gateway.submit('none') == (404, 'not_found')
 
 
+def sent_headers(gateway: GatewayUnderTest, **headers: str) -> dict[str, str]:
+    """Return the headers of the response to a submission."""
+    body = json.dumps({'request_id': 'p:1', 'job': {'queue': 'open'}}).encode()
+    environ = {
+        'REQUEST_METHOD': 'POST',
+        'PATH_INFO': '/v1/jobs',
+        'CONTENT_LENGTH': str(len(body)),
+        'wsgi.input': io.BytesIO(body),
+    }
+    environ.update(headers)
+    received: dict[str, str] = {}
+    gateway.application(environ, lambda _, pairs: received.update(pairs))
+    return received
+
+
+def test_callers_of_one_refusal_are_spread() -> None:
+    gateway = GatewayUnderTest()
+    gateway.groups[GroupName('p')].failure = CassiaholdError(
+        ErrorKind.OVERLOADED, 'full', RetryHint(1.0, 100.0)
+    )
+    pauses_ms = [
+        int(sent_headers(gateway)['Cassiahold-Retry-After-Ms'])
+        for _ in range(100)
+    ]
+    assert min(pauses_ms) >= 1000
+    assert max(pauses_ms) - min(pauses_ms) >= 500
+
+
+def test_refusal_says_so_when_no_later_try_is_in_time() -> None:
+    gateway = GatewayUnderTest()
+    gateway.groups[GroupName('p')].failure = CassiaholdError(
+        ErrorKind.OVERLOADED, 'full', RetryHint(1.0, 100.0)
+    )
+    headers = sent_headers(gateway, HTTP_CASSIAHOLD_DEADLINE_S='0.5')
+    assert headers['Cassiahold-Error'] == 'overloaded'
+    assert 'Retry-After' not in headers
+    assert 'Cassiahold-Retry-After-Ms' not in headers
+
+
+def test_pause_follows_the_outage_of_a_group() -> None:
+    gateway = GatewayUnderTest()
+    gateway.groups[GroupName('p')].failure = CassiaholdError(
+        ErrorKind.NO_QUORUM, 'no leader'
+    )
+    headers = sent_headers(gateway)
+    assert 1900 <= int(headers['Cassiahold-Retry-After-Ms']) <= 2100
+
+
 def test_lapsed_lease_refuses_all_but_open_queues() -> None:
     gateway = GatewayUnderTest(lease_s=-1.0)
     assert gateway.submit('locked') == (503, 'configuration_expired')
