Let the client obey the given pause and report lost tries

Cause: CallerClient.submit paused 0.3 s whatever the gateway said, and callers who were refused together returned together. After a try whose response was lost, a later refusal was raised as it was, "not run", although the earlier try may have been carried out; the same between two gateways in one send.

A refusal after a lost response is OUTCOME_UNKNOWN; reads are not affected. Live requests that were refused are sent again within their deadline. The client sends how long it has waited and has left.

--- a/libs/client/src/cassiahold/client/callers.py
+++ b/libs/client/src/cassiahold/client/callers.py
@@ -1,5 +1,6 @@
 """Client for callers: submit, follow and cancel jobs, send live requests."""
 
+import random
 import time
 import typing
 import uuid
@@ -7,12 +8,12 @@
 import msgspec
 
 from cassiahold.client.connection import GatewayConnection, parse_error
-from cassiahold.core.exceptions import CassiaholdError
+from cassiahold.client.retries import Retries
+from cassiahold.core.exceptions import CassiaholdError, ExecutionStatus
 from cassiahold.core.ids import JobId
 from cassiahold.core.states import JobKind, JobOutcome, TaskState
 
 _MAX_WAIT_S: typing.Final = 30.0
-_RETRY_PAUSE_S: typing.Final = 0.3
 _FIRST_ERROR_STATUS: typing.Final = 400
 
 
@@ -93,6 +94,7 @@
     ) -> None:
         self._connection = GatewayConnection(gateways, key)
         self._data_centre = data_centre
+        self._rng = random.Random()
 
     def close(self) -> None:
         """Close every connection."""
@@ -116,21 +118,25 @@
 
         ``job`` has the fields of the reference page on jobs.  Raises
         ``CassiaholdError`` with the kind of the refusal; a refused job is
-        not run.
+        not run.  After a try whose response was lost, the kind is
+        ``OUTCOME_UNKNOWN`` instead.
         """
         payload = {
             'request_id': request_id or self.new_request_id(),
             'job': dict(job),
         }
-        deadline = time.monotonic() + timeout_s
+        started_at = time.monotonic()
+        retries = Retries(started_at + timeout_s, self._rng)
         while True:
             try:
-                raw = self._connection.request_json('POST', '/v1/jobs', payload)
+                raw = self._connection.request_json(
+                    'POST',
+                    '/v1/jobs',
+                    payload,
+                    headers=_waiting_headers(started_at, timeout_s),
+                )
             except CassiaholdError as exc:
-                is_late = time.monotonic() + _RETRY_PAUSE_S >= deadline
-                if is_late or exc.response.retry.value == 'do not retry':
-                    raise
-                time.sleep(_RETRY_PAUSE_S)
+                time.sleep(retries.pause_s(exc, time.monotonic()))
             else:
                 return msgspec.json.decode(raw, type=SubmitResult)
 
@@ -171,23 +177,53 @@
     def call(self, live: Live) -> LiveAnswer:
         """Send a live request and return the complete response.
 
-        A request that is not idempotent is never sent twice.  Raises
-        ``CassiaholdError`` when no target responded; the ``response`` of
-        the error tells whether the request can have run.
+        A request that was refused is sent again after the pause that the
+        gateway gave.  Otherwise, a request that is not idempotent is never
+        sent twice.  Raises ``CassiaholdError`` when no target responded; the
+        ``response`` of the error tells whether the request can have run.
         """
+        request_id = live.request_id or uuid.uuid4().hex
+        started_at = time.monotonic()
+        retries = Retries(started_at + live.deadline_s, self._rng)
+        while True:
+            try:
+                return self._call_once(live, request_id, started_at)
+            except CassiaholdError as exc:
+                if exc.retry_after is None or not _was_refused(exc):
+                    raise
+                time.sleep(retries.pause_s(exc, time.monotonic()))
+
+    def _call_once(
+        self, live: Live, request_id: str, started_at: float
+    ) -> LiveAnswer:
+        headers = _waiting_headers(started_at, live.deadline_s)
         response = self._connection.send(
             live.method,
             f'/v1/services/{live.service}{live.path}',
             live.body,
             {
-                'Cassiahold-Request-Id': live.request_id or uuid.uuid4().hex,
+                'Cassiahold-Request-Id': request_id,
                 'Cassiahold-Idempotent': str(live.is_idempotent).lower(),
-                'Cassiahold-Deadline-S': f'{live.deadline_s:g}',
+                **headers,
             },
-            timeout_s=live.deadline_s,
+            timeout_s=live.deadline_s - (time.monotonic() - started_at),
             may_resend=live.is_idempotent,
         )
         target = response.headers.get('Cassiahold-Target', '')
         if response.status >= _FIRST_ERROR_STATUS and not target:
             raise parse_error(response)
         return LiveAnswer(response.status, response.data, target)
+
+
+def _waiting_headers(started_at: float, timeout_s: float) -> dict[str, str]:
+    """Return the headers for the time waited and the time left."""
+    waited_s = time.monotonic() - started_at
+    time_left_s = max(timeout_s - waited_s, 0)
+    return {
+        'Cassiahold-Deadline-S': f'{time_left_s:.3f}',
+        'Cassiahold-Waited-S': f'{waited_s:.3f}',
+    }
+
+
+def _was_refused(exc: CassiaholdError) -> bool:
+    return exc.response.execution is ExecutionStatus.NOT_RUN
--- a/libs/client/src/cassiahold/client/connection.py
+++ b/libs/client/src/cassiahold/client/connection.py
@@ -1,24 +1,38 @@
 """HTTP connection to a cell with failover between its gateways."""
 
+import time
+import types
 import typing
 
 import msgspec
 import urllib3
 from urllib3 import exceptions as http_errors
 
+from cassiahold.client.retries import parse_retry_after, unknown_outcome_error
 from cassiahold.core import tracing
-from cassiahold.core.exceptions import CassiaholdError, ErrorKind
+from cassiahold.core.exceptions import (
+    CassiaholdError,
+    ErrorKind,
+    ExecutionStatus,
+    RetryAdvice,
+)
 
 _CONNECT_TIMEOUT_S: typing.Final = 2.0
 _READ_MARGIN_S: typing.Final = 5.0
 _FIRST_ERROR_STATUS: typing.Final = 400
 _MAX_POOLS: typing.Final = 16
+_ERROR_HEADER: typing.Final = 'Cassiahold-Error'
+_RAN_HEADER: typing.Final = 'Cassiahold-Ran'
+_NOT_RUN: typing.Final = ExecutionStatus.NOT_RUN.value
+_SAFE_METHODS: typing.Final = frozenset(('GET', 'HEAD'))
+_NO_HEADERS: typing.Final = types.MappingProxyType[str, str]({})
 _CONNECTIONS_PER_GATEWAY: typing.Final = 64  # kept open when idle
 
 
 class _ErrorBody(msgspec.Struct):
     error: str = ''
     detail: str = ''
+    retry: str = ''
 
 
 class GatewayConnection:
@@ -53,6 +67,7 @@
         *,
         timeout_s: float = 10.0,
         may_resend: bool = True,
+        headers: typing.Mapping[str, str] = _NO_HEADERS,
     ) -> bytes:
         """Send JSON and return the body of a successful response.
 
@@ -65,7 +80,7 @@
             method,
             path,
             body,
-            {'Content-Type': 'application/json'},
+            {'Content-Type': 'application/json', **headers},
             timeout_s=timeout_s,
             may_resend=may_resend,
         )
@@ -85,8 +100,10 @@
     ) -> urllib3.BaseHTTPResponse:
         """Send a request and return the first response of any status.
 
-        When every gateway failed, raises ``OUTCOME_UNKNOWN`` if a response
-        was lost, otherwise the error of the first gateway that was tried.
+        Raises ``OUTCOME_UNKNOWN`` when a gateway refuses what an earlier one
+        may have carried out.  When every gateway failed, raises
+        ``OUTCOME_UNKNOWN`` if a response was lost, otherwise the error of the
+        first gateway that was tried.
         """
         all_headers = dict(headers)
         if self._token:
@@ -97,11 +114,15 @@
         failure: CassiaholdError | None = None
         for _ in self._gateways:
             try:
-                return self._send_once(method, path, body, all_headers, timeout)
+                response = self._send_once(
+                    method, path, body, all_headers, timeout
+                )
             except CassiaholdError as exc:
                 if not may_resend and _is_outcome_unknown(exc):
                     raise
                 failure = _more_severe(failure, exc)
+            else:
+                return _conclude(method, response, failure)
             self._preferred_index = (self._preferred_index + 1) % len(
                 self._gateways
             )
@@ -142,7 +163,7 @@
             raise CassiaholdError(
                 ErrorKind.OUTCOME_UNKNOWN, f'gateway {address}: {exc}'
             ) from exc
-        if response.headers.get('Cassiahold-Error') == ErrorKind.LEAVING.value:
+        if response.headers.get(_ERROR_HEADER) == ErrorKind.LEAVING.value:
             raise parse_error(response)
         return response
 
@@ -157,7 +178,31 @@
             ErrorKind.INTERNAL,
             f'malformed error response with status {response.status}',
         )
-    return CassiaholdError(kind, body.detail)
+    error = CassiaholdError(kind, body.detail)
+    error.retry_after = parse_retry_after(
+        response.headers.get('Cassiahold-Retry-After-Ms', ''),
+        response.headers.get('Retry-After', ''),
+        time.time(),
+    )
+    if body.retry == RetryAdvice.DO_NOT_RETRY.value:
+        error.retry_advice = RetryAdvice.DO_NOT_RETRY
+    return error
+
+
+def _conclude(
+    method: str,
+    response: urllib3.BaseHTTPResponse,
+    failure: CassiaholdError | None,
+) -> urllib3.BaseHTTPResponse:
+    """Return a response that came after the failures of other gateways.
+
+    Raises ``OUTCOME_UNKNOWN`` for a refusal after a lost response.
+    """
+    was_lost = failure is not None and _is_outcome_unknown(failure)
+    is_refusal = response.headers.get(_RAN_HEADER) == _NOT_RUN
+    if was_lost and is_refusal and method not in _SAFE_METHODS:
+        raise unknown_outcome_error(parse_error(response))
+    return response
 
 
 def _more_severe(
--- a/libs/core/src/cassiahold/core/exceptions.py
+++ b/libs/core/src/cassiahold/core/exceptions.py
@@ -245,7 +245,7 @@
 
     ``detail`` names the offending value and what was expected instead.
     ``hint`` comes from the place that refused the request; ``retry_after``
-    is what its caller is told, None if it should not try again.
+    and ``retry_advice`` are what its caller is told.
     """
 
     def __init__(
@@ -256,6 +256,7 @@
         self.detail = detail
         self.hint = hint
         self.retry_after: RetryAfter | None = None
+        self.retry_advice = RESPONSE_BY_KIND[kind].retry
 
     @property
     def response(self) -> ErrorResponse:
--- a/programs/gateway/src/cassiahold/gateway/http.py
+++ b/programs/gateway/src/cassiahold/gateway/http.py
@@ -20,11 +20,7 @@
 )
 from cassiahold.core.ids import TeamName
 from cassiahold.core.metrics import Metrics
-from cassiahold.gateway.refusals import (
-    RefusalPolicy,
-    retry_advice,
-    retry_headers,
-)
+from cassiahold.gateway.refusals import RefusalPolicy, retry_headers
 from cassiahold.routing.retry_after import RefusedCaller
 
 _Decoded = typing.TypeVar('_Decoded')
@@ -163,7 +159,7 @@
         exc.kind.value,
         exc.detail,
         row.execution.value,
-        retry_advice(exc).value,
+        exc.retry_advice.value,
     )
     headers = [
         (ERROR_KIND_HEADER, exc.kind.value),
--- a/programs/gateway/src/cassiahold/gateway/refusals.py
+++ b/programs/gateway/src/cassiahold/gateway/refusals.py
@@ -53,13 +53,14 @@
     def apply(
         self, exc: CassiaholdError, caller: RefusedCaller, now: float
     ) -> None:
-        """Set ``retry_after`` of an error; None if no try can be in time."""
+        """Set the pause of an error, or say that no try can be in time."""
         if exc.response.retry is not RetryAdvice.RETRY_LATER:
             return
         hint = exc.hint or RetryHint(self._settings.default_delay_s)
         with self._lock:
             decision = self._schedule(exc.kind, hint).decide(hint, caller, now)
         if decision.delay_s is None:
+            exc.retry_advice = RetryAdvice.DO_NOT_RETRY
             self._metrics.incr(f'retry_too_late.{exc.kind.value}')
             exc.detail = (
                 f'{exc.detail}; a try has a chance after '
@@ -97,11 +98,3 @@
     if retry_after.whole_s is not None:
         headers.append((RETRY_AFTER_HEADER, str(retry_after.whole_s)))
     return headers
-
-
-def retry_advice(exc: CassiaholdError) -> RetryAdvice:
-    """Return the advice of an error that the policy has been applied to."""
-    advice = exc.response.retry
-    if advice is RetryAdvice.RETRY_LATER and exc.retry_after is None:
-        return RetryAdvice.DO_NOT_RETRY
-    return advice
