Ask the other replicas when a follower is overloaded

While no leader is known, a process asks the replicas in turn. A follower whose threads were all in use refused with 429 for the whole cell, and its reply counted as a sign of life of the leader. Failed before: "overloaded" was raised where the next replica would have replied.

Such a refusal is passed on only when no other replica replies or names the leader; it is no reply of the leader.

--- a/programs/cell/src/cassiahold/cell/leader_client.py
+++ b/programs/cell/src/cassiahold/cell/leader_client.py
@@ -35,6 +35,8 @@
     # Later deadline once a try may have been carried out.
     resolve_at: float
     unknown_outcome: CassiaholdError | None = None
+    # Refusal of a busy process that is not known to be the leader.
+    overload: CassiaholdError | None = None
     last_reason: str = 'no replica is known'
 
     def time_left_s(self) -> float:
@@ -114,6 +116,8 @@
             reply = self._try_candidates(request, retry_state)
             if reply is not None:
                 return reply
+            if retry_state.overload and self._directory.leader is None:
+                raise retry_state.unknown_outcome or retry_state.overload
             if retry_state.time_left_s() <= RETRY_PAUSE_S:
                 break
             self._stopped.wait(RETRY_PAUSE_S)
@@ -125,6 +129,7 @@
     def _try_candidates(
         self, request: typing.Any, retry_state: '_RetryState'
     ) -> typing.Any:
+        retry_state.overload = None
         for address in self._directory.candidates():
             time_left_s = retry_state.time_left_s()
             if time_left_s <= 0:
@@ -161,6 +166,10 @@
     ) -> None:
         if exc.kind is ErrorKind.OUTCOME_UNKNOWN:
             retry_state.unknown_outcome = exc
+        elif exc.kind is ErrorKind.OVERLOADED and (
+            address != self._directory.leader
+        ):
+            retry_state.overload = exc
         elif exc.kind not in _TRY_ELSEWHERE_KINDS:
             # The leader itself refused: another replica cannot help.
             self._record_leader_reply()
--- a/programs/cell/tests/test_leader_client.py
+++ b/programs/cell/tests/test_leader_client.py
@@ -8,6 +8,7 @@
 from cassiahold.cell.leader_client import LeaderClient
 from cassiahold.core.conf.settings import TlsSettings
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
+from cassiahold.core.ids import ReplicaId
 from cassiahold.core.testing import expect_error, function_tests
 from cassiahold.wire.security import TransportSecurity
 
@@ -21,9 +22,11 @@
 class ScriptedLeaderClient(LeaderClient):
     """A client whose calls have prepared outcomes, in order."""
 
-    def __init__(self, *outcomes: typing.Any) -> None:
+    def __init__(
+        self, *outcomes: typing.Any, seeds: tuple[str, ...] = ('a:1',)
+    ) -> None:
         super().__init__(
-            ReplicaDirectory(('a:1',)),
+            ReplicaDirectory(seeds),
             TransportSecurity(TlsSettings(mode='plain'), pathlib.Path()),
         )
         self._outcomes = list(outcomes)
@@ -51,6 +54,29 @@
     )
 
 
+def test_overloaded_follower_does_not_refuse_for_the_leader() -> None:
+    """After a fail-over, callers may reach a busy follower first."""
+    seeds = ('a:1', 'b:1')
+    client = ScriptedLeaderClient(OVERLOADED, 'reply', seeds=seeds)
+    assert client.call_leader(REQUEST, TIMEOUT_S) == 'reply'
+    refused = ScriptedLeaderClient(OVERLOADED, NO_LEADER, seeds=seeds)
+    expect_error(
+        ErrorKind.OVERLOADED, lambda: refused.call_leader(REQUEST, TIMEOUT_S)
+    )
+    assert refused.leader_silence_s() > TIMEOUT_S
+
+
+def test_overloaded_leader_is_asked_once() -> None:
+    directory = ReplicaDirectory(('a:1', 'b:1'))
+    directory.suggest_leader(ReplicaId('b:1'))
+    client = ScriptedLeaderClient(OVERLOADED)
+    client._directory = directory
+    expect_error(
+        ErrorKind.OVERLOADED, lambda: client.call_leader(REQUEST, TIMEOUT_S)
+    )
+    assert client.leader_silence_s() < TIMEOUT_S
+
+
 def test_reply_of_a_later_try_is_returned() -> None:
     client = ScriptedLeaderClient(LOST_REPLY, 'reply')
     assert client.call_leader(REQUEST, TIMEOUT_S) == 'reply'
