Let no caller give up because of the returns of others

Cause: a caller whose turn among the returning callers came after its deadline was told that no try could be in time.

Only the cause of the refusal decides now whether a later try is useful. Whose turn comes after the deadline returns in the second half of its time; returns get half of the drain rate, since new callers need the rest. The flag of hints that named a rate as the most that can be served is gone.

--- a/libs/core/src/cassiahold/core/exceptions.py
+++ b/libs/core/src/cassiahold/core/exceptions.py
@@ -218,14 +218,12 @@
     Attributes:
         earliest_s: Time after which a try has a fair chance.
         drain_rate_per_s: Requests served per second then, 0 if unknown.
-        is_saturated: Whether no more than that can be served.
         service_s: How long serving the request takes, 0 if unknown.
         resource: Name of what is short, if several things can be.
     """
 
     earliest_s: float
     drain_rate_per_s: float = 0.0
-    is_saturated: bool = False
     service_s: float = 0.0
     resource: str = ''
 
--- a/libs/routing/src/cassiahold/routing/admission.py
+++ b/libs/routing/src/cassiahold/routing/admission.py
@@ -56,7 +56,6 @@
         return RetryHint(
             half_s,
             self.capacity.requests_per_s,
-            is_saturated=True,
             service_s=half_s + self.capacity.service_s,
             resource=service,
         )
--- a/libs/routing/src/cassiahold/routing/refusal_hints.py
+++ b/libs/routing/src/cassiahold/routing/refusal_hints.py
@@ -42,5 +42,5 @@
         elif exc.hint is not None:
             # Other processes refuse callers of the same leader.
             exc.hint = msgspec.structs.replace(
-                exc.hint, drain_rate_per_s=rate_per_s, is_saturated=False
+                exc.hint, drain_rate_per_s=rate_per_s
             )
--- a/libs/routing/src/cassiahold/routing/retry_after.py
+++ b/libs/routing/src/cassiahold/routing/retry_after.py
@@ -4,8 +4,10 @@
 cause of the refusal is expected to be gone, and not at the same time as the
 other refused callers.  Callers are spread by weighted fair queueing over
 virtual flows: each team has one flow for urgent callers and one for others,
-and returns are booked on all flows together at the drain rate.  Nothing here
-reads a clock; every method takes the current time as an argument.
+and returns are booked on all flows together at a share of the drain rate.  A
+caller whose turn would come after its deadline returns in the second half of
+its time.  Nothing here reads a clock; every method takes the current time as
+an argument.
 """
 
 import math
@@ -23,6 +25,8 @@
 # Names of teams may come from callers without a valid key.
 MAX_FLOWS: typing.Final = 1000
 _OTHER_TEAMS: typing.Final = TeamName('')
+# Of the drain rate; new callers need the rest.
+RETURN_SHARE: typing.Final = 0.5
 # Of the longest pause, when the cause lasts longer.
 MIN_CAPPED_SHARE: typing.Final = 0.5
 # Election timeouts are random between one and two of the configured ones.
@@ -62,18 +66,7 @@
     """The pauses after which a try of one caller has a fair chance."""
 
     earliest_s: float
-    latest_s: float
-    longest_s: float
-
-    @property
-    def ends_with_deadline(self) -> bool:
-        """Tell whether the deadline limits it, not the longest pause."""
-        return self.latest_s <= self.longest_s
-
-    @property
-    def end_s(self) -> float:
-        """Return the longest pause that is useful."""
-        return min(self.latest_s, self.longest_s)
+    end_s: float
 
 
 class _Flow(msgspec.Struct):
@@ -112,11 +105,8 @@
                 MIN_CAPPED_SHARE, 1
             )
         else:
-            window = _Window(earliest_s, latest_s, settings.max_delay_s)
-            booked_s = self._book(hint, caller, window, now)
-            if booked_s is None:
-                return RetryDecision(None, earliest_s)
-            delay_s = booked_s
+            window = _Window(earliest_s, min(latest_s, settings.max_delay_s))
+            delay_s = self._book(hint, caller, window, now)
         return RetryDecision(delay_s, earliest_s)
 
     def _book(
@@ -125,20 +115,19 @@
         caller: RefusedCaller,
         window: '_Window',
         now: float,
-    ) -> float | None:
+    ) -> float:
         flow = self._open_flow(caller, now)
         rate_per_s = hint.drain_rate_per_s or self._settings.default_rate_per_s
-        spacing_s = 1 / (rate_per_s * self._share(flow))
+        spacing_s = 1 / (RETURN_SHARE * rate_per_s * self._share(flow))
         start_s = max(flow.next_at - now, window.earliest_s)
         if start_s < window.end_s:
             flow.next_at = now + start_s + spacing_s
             return self._rng.uniform(
                 start_s, min(start_s + spacing_s, window.end_s)
             )
-        if hint.is_saturated and window.ends_with_deadline:
-            return None
-        # The flow may be served faster than was estimated.
-        return self._rng.uniform(window.earliest_s, window.end_s)
+        # Others may give up, and the backlog is shortest towards the end.
+        middle_s = (window.earliest_s + window.end_s) / 2
+        return self._rng.uniform(middle_s, window.end_s)
 
     def _open_flow(self, caller: RefusedCaller, now: float) -> _Flow:
         self._flow_by_key = {
--- a/libs/wire/src/cassiahold/wire/transport.py
+++ b/libs/wire/src/cassiahold/wire/transport.py
@@ -173,7 +173,7 @@
         if not rate_per_s:
             return None
         backlog_s = self._max_calls / rate_per_s
-        return RetryHint(backlog_s, rate_per_s, is_saturated=True)
+        return RetryHint(backlog_s, rate_per_s)
 
     def _handle_call(self, payload: bytes) -> bytes:
         try:
