Simulate 1,000 callers who return after a refusal

Experiment refused_callers of make bench: the product's dispatcher, pauses and client against a constant pause of 1 s and against no Retry-After (callers back off by themselves), the same callers for all, in a fail-over within a burst, a burst of 2.3 times the capacity and one team's burst.

--- a/tools/bench/src/cassiahold/bench/experiments/runner.py
+++ b/tools/bench/src/cassiahold/bench/experiments/runner.py
@@ -18,6 +18,7 @@
     live,
     packing,
     placement,
+    refused_callers,
     shares,
     urgent,
 )
@@ -38,6 +39,7 @@
     faulty_workers: faulty_workers.FaultyWorkersSettings
     advised: advised.AdvisedSettings
     crashing_jobs: crashing_jobs.CrashingJobsSettings
+    refused_callers: refused_callers.RefusedCallersSettings
 
 
 EXPERIMENT_BY_NAME: typing.Final[
@@ -51,6 +53,7 @@
     'faulty_workers': faulty_workers.run,
     'advised': advised.run,
     'crashing_jobs': crashing_jobs.run,
+    'refused_callers': refused_callers.run,
 }
 
 
