Report the attempt that may have run, and free late slots

Cause: when an idempotent live request failed at a target after it was sent, and the retry found a full queue or targets that did not run it, the caller got the last error, "not run", though the first target may have run it. And a thread that gave up waiting for the router left the slot in use if the router assigned one later.

The proxy now reports the attempt that may have run; a slot that nobody waits for is released.

--- a/programs/gateway/src/cassiahold/gateway/proxy.py
+++ b/programs/gateway/src/cassiahold/gateway/proxy.py
@@ -94,34 +94,48 @@
     def serve(self, request: LiveRequest) -> HttpResponse:
         """Return the target's complete response, after retries if needed.
 
-        Raises an error whose kind says whether the request may have run.
+        Raises an error whose kind says whether the request may have run in
+        any of the attempts.
         """
         with self._lock:
             self._retry_budget.deposit()
+        failures: list[CassiaholdError] = []
+        try:
+            return self._serve_with_retries(request, failures)
+        except CassiaholdError as exc:
+            raise _error_to_report(failures, exc) from exc
+
+    def _serve_with_retries(
+        self, request: LiveRequest, failures: list[CassiaholdError]
+    ) -> HttpResponse:
         excluded_targets: frozenset[TargetId] = frozenset()
-        attempts = 0
         while True:
-            endpoint = self._router.acquire(
-                SlotRequest(
-                    request.service,
-                    request.team,
-                    request.deadline,
-                    time.monotonic(),
-                    excluded_targets,
-                )
-            )
+            endpoint = self._acquire(request, excluded_targets)
             try:
                 return self._attempt(request, endpoint)
             except _AttemptError as failure:
-                attempts += 1
-                if not self._may_retry(request, failure, attempts):
+                failures.append(failure.error)
+                if not self._may_retry(request, failure, len(failures)):
                     raise failure.error from failure
             excluded_targets = excluded_targets | {endpoint.target}
-            time.sleep(backoff_s(attempts, self._rng))
-            if attempts >= 2:
+            time.sleep(backoff_s(len(failures), self._rng))
+            if len(failures) >= 2:
                 # After two failures, targets that failed are used again.
                 excluded_targets = frozenset()
 
+    def _acquire(
+        self, request: LiveRequest, excluded_targets: frozenset[TargetId]
+    ) -> Endpoint:
+        return self._router.acquire(
+            SlotRequest(
+                request.service,
+                request.team,
+                request.deadline,
+                time.monotonic(),
+                excluded_targets,
+            )
+        )
+
     def _claim_request_id(self, request: LiveRequest) -> bool:
         """Record that a request is sent; return False when it was before."""
         if request.is_idempotent or not request.request_id:
@@ -241,3 +255,13 @@
                 (REQUEST_ID_HEADER, request.request_id),
             ],
         )
+
+
+def _error_to_report(
+    failures: list[CassiaholdError], last_error: CassiaholdError
+) -> CassiaholdError:
+    """Return the last attempt's error that may have run, else the last."""
+    for error in reversed(failures):
+        if error.response.execution is ExecutionStatus.MAY_HAVE_RUN:
+            return error
+    return last_error
--- a/programs/gateway/src/cassiahold/gateway/router.py
+++ b/programs/gateway/src/cassiahold/gateway/router.py
@@ -94,8 +94,9 @@
     def acquire(self, request: SlotRequest) -> Endpoint:
         """Wait for a slot and return the endpoint to send the request to.
 
-        Raises ``NO_TARGET``, ``UNREACHABLE``, ``OVERLOADED`` or
-        ``DEADLINE_PASSED`` when the request is refused.
+        Raises ``NO_TARGET``, ``UNREACHABLE``, ``OVERLOADED``,
+        ``DEADLINE_TOO_SHORT`` or ``DEADLINE_PASSED`` when the request is
+        refused.
         """
         request.context = concurrent.futures.Future()
         self._ref.tell(AcquireSlot(request))
@@ -104,6 +105,9 @@
         try:
             request.context.result(timeout_s)
         except concurrent.futures.TimeoutError as exc:
+            request.context.add_done_callback(
+                lambda _: self._release_unused(request)
+            )
             raise CassiaholdError(
                 ErrorKind.DEADLINE_PASSED,
                 'the router did not decide on the request in time',
@@ -126,6 +130,11 @@
                 ReleaseSlot(service, endpoint, latency_s, has_failed)
             )
 
+    def _release_unused(self, request: SlotRequest) -> None:
+        """Free a slot that nobody waits for any more."""
+        if request.endpoint is not None:
+            self.release(request.service, request.endpoint)
+
     def renew_grants(self, renewal: RenewGrants) -> None:
         """Replace the grants."""
         self._ref.tell(renewal)
--- a/programs/gateway/tests/test_proxy.py
+++ b/programs/gateway/tests/test_proxy.py
@@ -6,7 +6,7 @@
 import time
 import typing
 
-from cassiahold.core.exceptions import ErrorKind
+from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import ServiceName, TargetId, TeamName
 from cassiahold.core.testing import expect_error, function_tests
 from cassiahold.gateway.proxy import LiveRequest, Proxy
@@ -156,6 +156,33 @@
         assert [target.request_count for target in targets] == [1, 1]
 
 
+def test_refused_retry_does_not_deny_the_first_attempt() -> None:
+    """The first target may have carried the request out."""
+    with proxy_to(respond_cut_short) as (proxy, router, _):
+        acquire = router.acquire
+
+        def acquire_once(request: SlotRequest) -> Endpoint:
+            if router.acquire_count:
+                raise CassiaholdError(ErrorKind.OVERLOADED, 'queue is full')
+            return acquire(request)
+
+        router.acquire = acquire_once  # type: ignore[method-assign]
+        expect_error(
+            ErrorKind.RESPONSE_TRUNCATED,
+            lambda: proxy.serve(live_request(is_idempotent=True)),
+        )
+
+
+def test_later_targets_do_not_deny_the_first_attempt() -> None:
+    later = (respond_not_run,) * 3
+    with proxy_to(respond_cut_short, *later) as (proxy, router, _):
+        expect_error(
+            ErrorKind.RESPONSE_TRUNCATED,
+            lambda: proxy.serve(live_request(is_idempotent=True)),
+        )
+        assert router.acquire_count == 4
+
+
 def test_request_that_is_not_idempotent_is_sent_once() -> None:
     """Guards property 7 for a resend through the same gateway."""
     with proxy_to(respond_whole) as (proxy, _, targets):
