Take few replies for no low drain rate

Cause: a process that had got one reply a second took that for the most that the leader could serve, and told callers without a deadline to return seconds later than useful. Failed before: a drain rate of 1/s after four replies in 4 s.

retry.default_rate_per_s is the least drain rate of a process now.

--- a/libs/core/src/cassiahold/core/conf/settings.py
+++ b/libs/core/src/cassiahold/core/conf/settings.py
@@ -97,7 +97,7 @@
     max_delay_s: _Seconds = 30.0
     # Callers with less time left than this return before others.
     urgent_time_left_s: _Seconds = 2.0
-    # Returns per second while the drain rate is unknown.
+    # Drain rate of a process that has had few requests.
     default_rate_per_s: typing.Annotated[
         float, msgspec.Meta(gt=0, le=MAX_COUNT)
     ] = 50.0
--- a/libs/routing/src/cassiahold/routing/refusal_hints.py
+++ b/libs/routing/src/cassiahold/routing/refusal_hints.py
@@ -16,11 +16,13 @@
 class RefusalHints:
     """Measures the replies to this process and completes refusals.
 
+    ``min_rate_per_s`` holds for a process that has had few requests.
     Thread-safe.
     """
 
-    def __init__(self, election_s: float) -> None:
+    def __init__(self, election_s: float, min_rate_per_s: float) -> None:
         self._election_s = election_s
+        self._min_rate_per_s = min_rate_per_s
         self._lock = threading.Lock()
         self._drain_rate = DrainRate()
 
@@ -34,7 +36,8 @@
     ) -> None:
         """Set the hint of an error; ``outage_s`` is without a leader."""
         with self._lock:
-            rate_per_s = self._drain_rate.rate_per_s(now)
+            measured_per_s = self._drain_rate.rate_per_s(now)
+        rate_per_s = max(measured_per_s, self._min_rate_per_s)
         if exc.kind is ErrorKind.NO_QUORUM:
             exc.hint = RetryHint(
                 time_until_leader_s(outage_s, self._election_s), rate_per_s
--- a/programs/cell/src/cassiahold/cell/node.py
+++ b/programs/cell/src/cassiahold/cell/node.py
@@ -82,7 +82,9 @@
         self._peer_sender_by_address: dict[str, PeerSender] = {}
         self._replica: pykka.ActorRef[Replica] | None = None
         self._own_id = ReplicaId('')
-        self._refusal_hints = RefusalHints(settings.election_s)
+        self._refusal_hints = RefusalHints(
+            settings.election_s, settings.retry.default_rate_per_s
+        )
         self._request_sender: ThreadedRequestSender | None = None
         self.directory = ReplicaDirectory(settings.seeds)
         self.leader_client = LeaderClient(
--- a/programs/gateway/src/cassiahold/gateway/main.py
+++ b/programs/gateway/src/cassiahold/gateway/main.py
@@ -109,6 +109,7 @@
     scheduler_groups = SchedulerGroups(
         open_scheduler_clients(settings, stack),
         settings.cell.timing.election_s,
+        settings.host.retry.default_rate_per_s,
     )
     proxy = Proxy(router, settings.host.max_body_bytes)
     stack.callback(proxy.close)
--- a/programs/gateway/src/cassiahold/gateway/scheduler_groups.py
+++ b/programs/gateway/src/cassiahold/gateway/scheduler_groups.py
@@ -33,11 +33,13 @@
         self,
         client_by_group: dict[GroupName, GroupClient],
         election_s: float,
+        min_rate_per_s: float,
     ) -> None:
         self._client_by_group = client_by_group
         self._names = sorted(client_by_group)
         self._hints_by_group = {
-            name: RefusalHints(election_s) for name in client_by_group
+            name: RefusalHints(election_s, min_rate_per_s)
+            for name in client_by_group
         }
         # When the first of the latest failed calls of each group began.
         self._failing_since_by_group: dict[GroupName, float] = {}
--- a/programs/gateway/tests/test_gateway.py
+++ b/programs/gateway/tests/test_gateway.py
@@ -77,7 +77,9 @@
         self.authorizer = Authorizer('', '')
         self.authorizer.update(leased(lease_s))
         self.scheduler_groups = SchedulerGroups(
-            typing.cast(typing.Any, self.groups), election_s=1.0
+            typing.cast(typing.Any, self.groups),
+            election_s=1.0,
+            min_rate_per_s=50.0,
         )
         self.request_tracker = RequestTracker()
         handlers = CallerHandlers(
--- a/tools/bench/src/cassiahold/bench/experiments/refused_gateway.py
+++ b/tools/bench/src/cassiahold/bench/experiments/refused_gateway.py
@@ -16,18 +16,13 @@
 
 from cassiahold.client.retries import Retries
 from cassiahold.core.conf.settings import RetrySettings
-from cassiahold.core.drain_rate import DrainRate
-from cassiahold.core.exceptions import (
-    CassiaholdError,
-    ErrorKind,
-    RetryAfter,
-    RetryHint,
-)
+from cassiahold.core.exceptions import CassiaholdError, ErrorKind, RetryAfter
 from cassiahold.core.ids import ServiceName, TargetId, TeamName
 from cassiahold.core.metrics import NullMetrics
 from cassiahold.gateway.refusals import RefusalPolicy
 from cassiahold.routing.dispatcher import Dispatcher, SlotGrant, SlotRequest
-from cassiahold.routing.retry_after import RefusedCaller, time_until_leader_s
+from cassiahold.routing.refusal_hints import RefusalHints
+from cassiahold.routing.retry_after import RefusedCaller
 
 SERVICE: typing.Final = ServiceName('prices')
 TICK_S: typing.Final = 0.05
@@ -158,7 +153,9 @@
         self._now = 0.0
         self._event_numbers = itertools.count()
         self._events: list[tuple[float, int, typing.Any]] = []
-        self._drain_rate = DrainRate()
+        self._refusal_hints = RefusalHints(
+            shape.election_s, RetrySettings().default_rate_per_s
+        )
         self._dispatcher = Dispatcher(shape.queue_length, self._handle_decision)
         grant = SlotGrant(
             TargetId('x'), 1, SERVICE, 'address', shape.slots, shape.slots
@@ -189,17 +186,9 @@
     def _try(self, caller: Caller) -> None:
         silence_s = self._now - self._shape.outage_at
         if 0 <= silence_s < self._shape.outage_s:
-            self._refuse(
-                caller,
-                CassiaholdError(
-                    ErrorKind.NO_QUORUM,
-                    '',
-                    RetryHint(
-                        time_until_leader_s(silence_s, self._shape.election_s),
-                        self._drain_rate.rate_per_s(self._now),
-                    ),
-                ),
-            )
+            error = CassiaholdError(ErrorKind.NO_QUORUM, 'no leader')
+            self._refusal_hints.complete(error, silence_s, self._now)
+            self._refuse(caller, error)
             return
         self._dispatcher.submit(
             SlotRequest(
@@ -230,7 +219,7 @@
         caller = request.context
         if self._now <= caller.deadline:
             caller.served_at = self._now
-        self._drain_rate.record_completion(self._now)
+        self._refusal_hints.record_reply(self._now)
         if request.endpoint is not None:
             self._dispatcher.complete(
                 SERVICE, request.endpoint, self._now, latency_s=work_s
