Refuse a request without time before it is sent

Cause: a caller's deadline of a few milliseconds, 0 or less made the process report a lost leader ("no replica is known") or time out the call, which replaces the connection to the leader and makes it suspect for all callers. Failed before: no_quorum where deadline_too_short was due.

Less than 5 ms is refused as deadline_too_short, and nothing is sent.

--- a/programs/cell/src/cassiahold/cell/leader_client.py
+++ b/programs/cell/src/cassiahold/cell/leader_client.py
@@ -17,6 +17,7 @@
 from cassiahold.wire.transport import Channel
 
 CALL_TIMEOUT_S: typing.Final = 0.7
+MIN_CALL_TIMEOUT_S: typing.Final = 0.005
 RETRY_PAUSE_S: typing.Final = 0.03
 LOCATE_TIMEOUT_S: typing.Final = 0.4
 LOCATE_INTERVAL_S: typing.Final = 1.0
@@ -104,10 +105,16 @@
         ``resolve_timeout_s``, if that is longer: an answer that says neither
         yes nor no is of little use to a caller.
 
-        Raises ``OUTCOME_UNKNOWN`` when a leader may have carried it out in
+        Raises ``DEADLINE_TOO_SHORT`` when the time is too short for any try,
+        ``OUTCOME_UNKNOWN`` when a leader may have carried it out in
         one of the tries; otherwise an error of the kind with which the leader
         refused, or ``NO_QUORUM`` when no leader has received the request.
         """
+        if timeout_s < MIN_CALL_TIMEOUT_S:
+            raise CassiaholdError(
+                ErrorKind.DEADLINE_TOO_SHORT,
+                f'{timeout_s:.3f} s are too short to reach the leader',
+            )
         now = boottime_s()
         retry_state = _RetryState(
             now + timeout_s, now + max(timeout_s, resolve_timeout_s)
--- a/programs/cell/tests/test_leader_client.py
+++ b/programs/cell/tests/test_leader_client.py
@@ -98,6 +98,17 @@
     )
 
 
+def test_request_without_time_is_not_taken_for_a_lost_leader() -> None:
+    """A caller's deadline of 0 ms says nothing about the leader."""
+    client = ScriptedLeaderClient('reply')
+    for timeout_s in (0.0, -1.0, 0.001):
+        expect_error(
+            ErrorKind.DEADLINE_TOO_SHORT,
+            lambda timeout_s=timeout_s: client.call_leader(REQUEST, timeout_s),
+        )
+    assert client.call_leader(REQUEST, TIMEOUT_S) == 'reply'
+
+
 class SilentReplica(LeaderClient):
     """A client whose only replica never replies."""
 
