Give callers who read whole seconds any useful one

Cause: a pause that was after the deadline when rounded up was left out of Retry-After, although an earlier whole second was useful; most clients read nothing else. Failed before: no second for a pause of 1.35 s, useful from 0.55 s, with 1.8 s left; now 1.

--- a/libs/routing/src/cassiahold/routing/retry_after.py
+++ b/libs/routing/src/cassiahold/routing/retry_after.py
@@ -164,13 +164,18 @@
     return max(OUTAGE_SHARE * silence_s, election_s / 2)
 
 
-def whole_seconds(delay_s: float, time_left_s: float) -> int | None:
-    """Return a pause in whole seconds, None if none lies within the time.
+def whole_seconds(
+    delay_s: float, earliest_s: float, time_left_s: float
+) -> int | None:
+    """Return a pause in whole seconds, None if none is useful.
 
-    It is rounded up, since a try before its time would be refused again.
+    It is rounded up.  If that is not before the caller's deadline, it is the
+    last whole second from ``earliest_s`` that is.
     """
     seconds = math.ceil(delay_s)
-    return seconds if seconds < time_left_s else None
+    if seconds >= time_left_s:
+        seconds = math.ceil(time_left_s) - 1
+    return seconds if seconds >= earliest_s else None
 
 
 def _comes_first(caller: RefusedCaller, settings: RetrySettings) -> bool:
--- a/programs/gateway/src/cassiahold/gateway/refusals.py
+++ b/programs/gateway/src/cassiahold/gateway/refusals.py
@@ -73,7 +73,9 @@
         )
         exc.retry_after = RetryAfter(
             decision.delay_s,
-            whole_seconds(decision.delay_s, caller.time_left_s),
+            whole_seconds(
+                decision.delay_s, decision.earliest_s, caller.time_left_s
+            ),
         )
 
     def _schedule(self, kind: ErrorKind, hint: RetryHint) -> ReturnSchedule:
