Spread returns by team and share at the gateway

The gateway told refused callers apart by the unchecked first part of their key: a team with two keys, or a caller with invented ones, had several turns. It uses the team of the valid key and its share now; callers without a valid key count as one team.

--- a/programs/gateway/src/cassiahold/gateway/authorization.py
+++ b/programs/gateway/src/cassiahold/gateway/authorization.py
@@ -14,8 +14,11 @@
 from cassiahold.config.keys import matches_key_hash
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import KeyId, QueueName, ServiceName, TeamName
+from cassiahold.gateway.http import HttpRequest, describe_caller
+from cassiahold.routing.retry_after import RefusedCaller
 
 _BEARER = 'Bearer '
+_ANONYMOUS = TeamName('')
 
 
 class LeasedConfiguration(msgspec.Struct, frozen=True):
@@ -156,6 +159,20 @@
             raise _unknown_key_error('the key is missing, unknown or withdrawn')
         return self._leased.team_by_key[KeyId(key_id)]
 
+    def describe_caller(self, request: HttpRequest) -> RefusedCaller:
+        """Return the team and the share of a request that was refused.
+
+        Callers without a valid key count as one team.
+        """
+        caller = describe_caller(request)
+        try:
+            team = self.authenticate_team(request.header('Authorization'))
+        except CassiaholdError:
+            return msgspec.structs.replace(caller, team=_ANONYMOUS)
+        record = self._leased.configuration.team_by_name.get(team)
+        weight = float(record.share) if record else 1.0
+        return msgspec.structs.replace(caller, team=team, weight=weight)
+
     def _require_lease(self) -> None:
         if not self.has_valid_lease:
             raise CassiaholdError(
--- a/programs/gateway/src/cassiahold/gateway/http.py
+++ b/programs/gateway/src/cassiahold/gateway/http.py
@@ -174,7 +174,8 @@
 def describe_caller(request: HttpRequest) -> RefusedCaller:
     """Return who sent a request and how long it waits for the response.
 
-    Callers are told apart by the public part of their key.
+    Callers are told apart by the public part of their key, which is not
+    checked here.
     """
     key = request.header('Authorization').removeprefix(_BEARER_SCHEME)
     return RefusedCaller(
--- a/programs/gateway/src/cassiahold/gateway/main.py
+++ b/programs/gateway/src/cassiahold/gateway/main.py
@@ -90,6 +90,7 @@
                 *map(request_tracker.track, routes),
             ],
             metrics,
+            caller_of=authorizer.describe_caller,
             refusal_policy=RefusalPolicy(settings.host.retry, metrics),
         ),
         settings.own_host.gateway,
--- a/programs/gateway/tests/test_gateway.py
+++ b/programs/gateway/tests/test_gateway.py
@@ -13,6 +13,8 @@
 import typing
 from unittest import mock
 
+import msgspec
+
 from cassiahold.config import (
     Configuration,
     Limit,
@@ -35,6 +37,7 @@
 )
 from cassiahold.gateway.http_server import HttpServer, RequestTracker
 from cassiahold.gateway.scheduler_groups import SchedulerGroups
+from cassiahold.routing.retry_after import RefusedCaller
 from cassiahold.wire import messages
 
 RED = TeamName('red')
@@ -181,6 +184,42 @@
     assert 'Cassiahold-Retry-After-Ms' not in headers
 
 
+def test_returns_are_spread_by_team_and_share() -> None:
+    """A team must not get earlier returns by using several keys."""
+    configuration = msgspec.structs.replace(
+        CONFIGURATION, teams=(Team(name='red', share=3, limit=LIMIT),)
+    )
+    keys = [new_key('red-1'), new_key('red-2')]
+    authorizer = Authorizer('', '')
+    authorizer.update(
+        LeasedConfiguration(
+            1,
+            configuration,
+            {KeyId('red-1'): RED, KeyId('red-2'): RED},
+            {KeyId(key.key.id): key.key for key in keys},
+            time.monotonic() + 60,
+        )
+    )
+    presented = [key.presented for key in keys]
+    described = [
+        authorizer.describe_caller(
+            HttpRequest(
+                {
+                    'REQUEST_METHOD': 'GET',
+                    'HTTP_AUTHORIZATION': f'Bearer {key}',
+                    'HTTP_CASSIAHOLD_DEADLINE_S': '2.5',
+                }
+            )
+        )
+        for key in (*presented, 'red-1.guessed')
+    ]
+    assert described == [
+        RefusedCaller(RED, 2.5, weight=3.0),
+        RefusedCaller(RED, 2.5, weight=3.0),
+        RefusedCaller(TeamName(''), 2.5),
+    ]
+
+
 def test_pause_follows_the_outage_of_a_group() -> None:
     gateway = GatewayUnderTest()
     gateway.groups[GroupName('p')].failure = CassiaholdError(
