--- a/libs/core/src/cassiahold/core/exceptions.py
+++ b/libs/core/src/cassiahold/core/exceptions.py
@@ -26,6 +26,7 @@
     VERSION_CONFLICT = 'version_conflict'
     NEVER_FITS = 'never_fits'
     OVERLOADED = 'overloaded'
+    DEADLINE_TOO_SHORT = 'deadline_too_short'
     DEADLINE_PASSED = 'deadline_passed'
     LEAVING = 'leaving'
     CONFIGURATION_EXPIRED = 'configuration_expired'
@@ -130,6 +131,11 @@
         'A queue is full.',
         retry=RetryAdvice.RETRY_LATER,
     ),
+    ErrorKind.DEADLINE_TOO_SHORT: _response(
+        429,
+        'RESOURCE_EXHAUSTED',
+        'The work cannot be served before its deadline.',
+    ),
     ErrorKind.DEADLINE_PASSED: _response(
         504,
         'DEADLINE_EXCEEDED',
@@ -206,16 +212,49 @@
 }
 
 
+class RetryHint(msgspec.Struct, frozen=True):
+    """What the place that refused a request knows about a later try.
+
+    Attributes:
+        earliest_s: Time after which a try has a fair chance.
+        drain_rate_per_s: Requests served per second then, 0 if unknown.
+        service_s: How long serving the request takes, 0 if unknown.
+        resource: Name of what is short, if several things can be.
+    """
+
+    earliest_s: float
+    drain_rate_per_s: float = 0.0
+    service_s: float = 0.0
+    resource: str = ''
+
+
+class RetryAfter(msgspec.Struct, frozen=True):
+    """The pause before another try that a refused caller is told.
+
+    ``whole_s`` is the pause in whole seconds, None if none is in time.
+    """
+
+    delay_s: float
+    whole_s: int | None = None
+
+
 class CassiaholdError(Exception):
     """An error that is reported to a caller or an operator by its kind.
 
     ``detail`` names the offending value and what was expected instead.
+    ``hint`` comes from the place that refused the request; ``retry_after``
+    and ``retry_advice`` are what its caller is told.
     """
 
-    def __init__(self, kind: ErrorKind, detail: str) -> None:
+    def __init__(
+        self, kind: ErrorKind, detail: str, hint: RetryHint | None = None
+    ) -> None:
         super().__init__(f'{kind.value}: {detail}')
         self.kind = kind
         self.detail = detail
+        self.hint = hint
+        self.retry_after: RetryAfter | None = None
+        self.retry_advice = RESPONSE_BY_KIND[kind].retry
 
     @property
     def response(self) -> ErrorResponse:
--- a/programs/cell/src/cassiahold/cell/leader_client.py
+++ b/programs/cell/src/cassiahold/cell/leader_client.py
@@ -17,6 +17,7 @@
 from cassiahold.wire.transport import Channel
 
 CALL_TIMEOUT_S: typing.Final = 0.7
+MIN_CALL_TIMEOUT_S: typing.Final = 0.005
 RETRY_PAUSE_S: typing.Final = 0.03
 LOCATE_TIMEOUT_S: typing.Final = 0.4
 LOCATE_INTERVAL_S: typing.Final = 1.0
@@ -35,6 +36,8 @@
     # Later deadline once a try may have been carried out.
     resolve_at: float
     unknown_outcome: CassiaholdError | None = None
+    # Refusal of a busy process that is not known to be the leader.
+    overload: CassiaholdError | None = None
     last_reason: str = 'no replica is known'
 
     def time_left_s(self) -> float:
@@ -65,6 +68,7 @@
         self._local_handler = local_handler
         self._lock = threading.Lock()
         self._channel_by_address: dict[str, Channel] = {}
+        self._created_at = boottime_s()
         self._leader_replied_at = -1.0
         self._is_leader_reachable = True
         self._stack = contextlib.ExitStack()
@@ -85,6 +89,10 @@
         """Return the seconds since a leader last replied."""
         return boottime_s() - self._leader_replied_at
 
+    def outage_s(self) -> float:
+        """Return how long no leader has replied, since the start at most."""
+        return boottime_s() - max(self._leader_replied_at, self._created_at)
+
     def call_leader(
         self,
         request: typing.Any,
@@ -97,10 +105,16 @@
         ``resolve_timeout_s``, if that is longer: an answer that says neither
         yes nor no is of little use to a caller.
 
-        Raises ``OUTCOME_UNKNOWN`` when a leader may have carried it out in
+        Raises ``DEADLINE_TOO_SHORT`` when the time is too short for any try,
+        ``OUTCOME_UNKNOWN`` when a leader may have carried it out in
         one of the tries; otherwise an error of the kind with which the leader
         refused, or ``NO_QUORUM`` when no leader has received the request.
         """
+        if timeout_s < MIN_CALL_TIMEOUT_S:
+            raise CassiaholdError(
+                ErrorKind.DEADLINE_TOO_SHORT,
+                f'{timeout_s:.3f} s are too short to reach the leader',
+            )
         now = boottime_s()
         retry_state = _RetryState(
             now + timeout_s, now + max(timeout_s, resolve_timeout_s)
@@ -109,6 +123,8 @@
             reply = self._try_candidates(request, retry_state)
             if reply is not None:
                 return reply
+            if retry_state.overload and self._directory.leader is None:
+                raise retry_state.unknown_outcome or retry_state.overload
             if retry_state.time_left_s() <= RETRY_PAUSE_S:
                 break
             self._stopped.wait(RETRY_PAUSE_S)
@@ -120,6 +136,7 @@
     def _try_candidates(
         self, request: typing.Any, retry_state: '_RetryState'
     ) -> typing.Any:
+        retry_state.overload = None
         for address in self._directory.candidates():
             time_left_s = retry_state.time_left_s()
             if time_left_s <= 0:
@@ -156,6 +173,10 @@
     ) -> None:
         if exc.kind is ErrorKind.OUTCOME_UNKNOWN:
             retry_state.unknown_outcome = exc
+        elif exc.kind is ErrorKind.OVERLOADED and (
+            address != self._directory.leader
+        ):
+            retry_state.overload = exc
         elif exc.kind not in _TRY_ELSEWHERE_KINDS:
             # The leader itself refused: another replica cannot help.
             self._record_leader_reply()
@@ -178,7 +199,7 @@
         if isinstance(reply, Refusal):
             if reply.kind is ErrorKind.NO_QUORUM:
                 self._directory.suggest_leader(reply.leader)
-            raise CassiaholdError(reply.kind, reply.detail)
+            raise CassiaholdError(reply.kind, reply.detail, reply.hint)
         return reply
 
     def _call_remote(
--- a/programs/cell/src/cassiahold/cell/requests.py
+++ b/programs/cell/src/cassiahold/cell/requests.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from cassiahold.agreement.messages import Membership
-from cassiahold.core.exceptions import ErrorKind
+from cassiahold.core.exceptions import ErrorKind, RetryHint
 from cassiahold.core.ids import ReplicaId, WorkerId
 from cassiahold.wire.messages import Refusal
 from cassiahold.wire.transport import make_codec
@@ -176,8 +176,21 @@
 CODEC = make_codec(CellRequest, CellReply)
 
 
+def request_flow(request: CellRequest) -> str:
+    """Return the flow of a request, for admission to the leader.
+
+    Requests of callers are told apart by their key, others by their type.
+    """
+    if isinstance(request, SubmitWork | GetWork | CancelWork):
+        return f'key {request.key}'
+    return type(request).__name__
+
+
 def make_refusal(
-    kind: ErrorKind, detail: str, leader: ReplicaId | None = None
+    kind: ErrorKind,
+    detail: str,
+    leader: ReplicaId | None = None,
+    hint: RetryHint | None = None,
 ) -> Refusal:
     """Return the reply for an error, naming the leader if it is known."""
-    return Refusal(kind, detail, leader)
+    return Refusal(kind, detail, leader, hint)
