--- a/libs/workflows/src/cassiahold/workflows/allocations.py
+++ b/libs/workflows/src/cassiahold/workflows/allocations.py
@@ -7,7 +7,14 @@
 
 from cassiahold.core.ids import TeamName, WorkerId
 from cassiahold.core.resources import NO_RESOURCES, Resources
-from cassiahold.workflows.model import AttemptKey, WorkerRecord
+from cassiahold.workflows.crashes import is_suspect
+from cassiahold.workflows.model import (
+    AttemptKey,
+    JobRecord,
+    StepKey,
+    TaskKey,
+    WorkerRecord,
+)
 
 
 class AllocationLedger:
@@ -46,6 +53,22 @@
             worker.suspect_attempts.add(attempt)
         self._allocated_by_team[team] = self.usage_of(team) + resources
 
+    def restore(self, record: JobRecord, key: StepKey) -> None:
+        """Allocate the resources of a step's attempts in progress."""
+        resources = record.spec.steps[key.step_index].resources
+        for index, task in enumerate(record.step(key).tasks):
+            if task.active_attempt is not None:
+                attempt = AttemptKey(
+                    TaskKey(key, index), task.active_attempt.attempt_number
+                )
+                self.allocate(
+                    record.team,
+                    attempt,
+                    task.active_attempt.worker,
+                    resources,
+                    is_suspect=is_suspect(task.crash_score),
+                )
+
     def release(
         self, team: TeamName, attempt: AttemptKey, worker_id: WorkerId
     ) -> None:
--- /dev/null
+++ b/libs/workflows/src/cassiahold/workflows/snapshots.py
@@ -0,0 +1,76 @@
+"""The replicated data of the cell and their encoding as a snapshot.
+
+The order of the fields is part of the stored format; new ones go to the end
+and have a default, so that older snapshots are still read.
+"""
+
+import typing
+
+import msgspec
+
+from cassiahold.core.ids import JobId, WorkerId
+from cassiahold.workflows.commands import RegisterWorker
+from cassiahold.workflows.configuration import CellConfiguration
+from cassiahold.workflows.model import JobRecord, WorkerRecord
+from cassiahold.workflows.speeds import SpeedEstimate
+
+
+class ReplicatedData(msgspec.Struct):
+    """Jobs, workers and configuration, as the log has made them."""
+
+    configuration: CellConfiguration = CellConfiguration()
+    configuration_source: bytes = b''
+    job_by_id: dict[JobId, JobRecord] = msgspec.field(default_factory=dict)
+    worker_by_id: dict[WorkerId, WorkerRecord] = msgspec.field(
+        default_factory=dict
+    )
+
+
+class _Snapshot(msgspec.Struct, array_like=True):
+    configuration: CellConfiguration
+    configuration_source: bytes
+    jobs: list[JobRecord]
+    workers: list[RegisterWorker]
+    speeds: list[SpeedEstimate] = msgspec.field(default_factory=list)
+
+
+_encode: typing.Final = msgspec.msgpack.Encoder().encode
+_decode: typing.Final = msgspec.msgpack.Decoder(_Snapshot).decode
+
+
+def encode_snapshot(data: ReplicatedData) -> bytes:
+    """Return the encoded data without what is derived from the jobs."""
+    workers = data.worker_by_id.values()
+    return _encode(
+        _Snapshot(
+            data.configuration,
+            data.configuration_source,
+            list(data.job_by_id.values()),
+            [
+                RegisterWorker(worker.info, worker.sequence)
+                for worker in workers
+            ],
+            [worker.speed_estimate for worker in workers],
+        )
+    )
+
+
+def decode_snapshot(content: bytes) -> ReplicatedData:
+    """Return the data of a snapshot; the workers run nothing yet."""
+    snapshot = _decode(content)
+    data = ReplicatedData(
+        snapshot.configuration,
+        snapshot.configuration_source,
+        {record.id: record for record in snapshot.jobs},
+        {
+            registration.info.id: WorkerRecord(
+                registration.info, sequence=registration.sequence or 0
+            )
+            for registration in snapshot.workers
+        },
+    )
+    for worker, speed_estimate in zip(
+        data.worker_by_id.values(), snapshot.speeds, strict=False
+    ):
+        worker.speed_estimate = speed_estimate
+    return data
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -5,14 +5,13 @@
 the command that records its end.
 """
 
-import collections
 import typing
 
 import msgspec
 
 from cassiahold.core.exceptions import ErrorKind
 from cassiahold.core.ids import JobId, QueueName, TeamName, WorkerId
-from cassiahold.core.resources import NO_RESOURCES, Resources, is_within_limit
+from cassiahold.core.resources import Resources
 from cassiahold.workflows import commands
 from cassiahold.workflows.allocations import AllocationLedger
 from cassiahold.workflows.attempt_results import (
@@ -41,49 +40,18 @@
     WorkerRecord,
     new_job_record,
 )
+from cassiahold.workflows.snapshots import (
+    ReplicatedData,
+    decode_snapshot,
+    encode_snapshot,
+)
 from cassiahold.workflows.speeds import SpeedEstimate
-from cassiahold.workflows.steps import can_start, has_startable_tasks, step_keys
+from cassiahold.workflows.start_checks import can_start_group
+from cassiahold.workflows.steps import has_startable_tasks, step_keys
 
 _ABORTED_STATES: typing.Final = frozenset((JobState.FAILED, JobState.CANCELLED))
 
 
-class _ReplicatedData(msgspec.Struct):
-    configuration: CellConfiguration = CellConfiguration()
-    configuration_source: bytes = b''
-    job_by_id: dict[JobId, JobRecord] = msgspec.field(default_factory=dict)
-    worker_by_id: dict[WorkerId, WorkerRecord] = msgspec.field(
-        default_factory=dict
-    )
-
-
-class _Snapshot(msgspec.Struct, array_like=True):
-    configuration: CellConfiguration
-    configuration_source: bytes
-    jobs: list[JobRecord]
-    workers: list[commands.RegisterWorker]
-    speeds: list[SpeedEstimate] = msgspec.field(default_factory=list)
-
-
-_encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(_Snapshot).decode
-
-
-def _satisfies_spread(
-    group: list[commands.AttemptStart], data: _ReplicatedData
-) -> bool:
-    step = group[0].attempt.task.step
-    record = data.job_by_id[step.job]
-    max_tasks = record.spec.steps[step.step_index].max_tasks_per_worker
-    if not max_tasks:
-        return True
-    count_by_worker = collections.Counter(start.worker for start in group)
-    for worker_id in count_by_worker:
-        worker = data.worker_by_id.get(worker_id)
-        if worker is not None:
-            count_by_worker[worker_id] += worker.count_tasks(step)
-    return max(count_by_worker.values()) <= max_tasks
-
-
 def _newest_description(
     record: WorkerRecord, command: commands.RegisterWorker
 ) -> WorkerInfo:
@@ -106,7 +74,7 @@
     """
 
     def __init__(self) -> None:
-        self._data = _ReplicatedData()
+        self._data = ReplicatedData()
         self._effects: list[commands.Effect] = []
         self._rebuild_derived()
 
@@ -205,43 +173,11 @@
 
     def snapshot(self) -> bytes:
         """Return the encoded replicated data."""
-        data = self._data
-        return _encode(
-            _Snapshot(
-                data.configuration,
-                data.configuration_source,
-                list(data.job_by_id.values()),
-                [
-                    commands.RegisterWorker(worker.info, worker.sequence)
-                    for worker in data.worker_by_id.values()
-                ],
-                [
-                    worker.speed_estimate
-                    for worker in data.worker_by_id.values()
-                ],
-            )
-        )
+        return encode_snapshot(self._data)
 
     def restore(self, state: bytes) -> None:
         """Replace the replicated data by a snapshot and drop all effects."""
-        snapshot = _decode(state)
-        self._data = _ReplicatedData(
-            snapshot.configuration,
-            snapshot.configuration_source,
-            {record.id: record for record in snapshot.jobs},
-            {
-                registration.info.id: WorkerRecord(
-                    registration.info, sequence=registration.sequence or 0
-                )
-                for registration in snapshot.workers
-            },
-        )
-        for registration, speed_estimate in zip(
-            snapshot.workers, snapshot.speeds, strict=False
-        ):
-            self._data.worker_by_id[
-                registration.info.id
-            ].speed_estimate = speed_estimate
+        self._data = decode_snapshot(state)
         self._effects = []
         self._rebuild_derived()
 
@@ -281,7 +217,7 @@
         """
         started_count = 0
         for group in command.groups:
-            if self._can_start(group):
+            if can_start_group(group, self):
                 started_count += len(group)
                 for start in group:
                     self._start_attempt(start, command.term)
@@ -387,22 +323,7 @@
                 self._change_unstarted_count(record, 1)
             self._update_waiting_steps(record)
             for key in step_keys(record):
-                self._restore_allocations(record, key)
-
-    def _restore_allocations(self, record: JobRecord, key: StepKey) -> None:
-        resources = record.spec.steps[key.step_index].resources
-        for index, task in enumerate(record.step(key).tasks):
-            if task.active_attempt is not None:
-                attempt = AttemptKey(
-                    TaskKey(key, index), task.active_attempt.attempt_number
-                )
-                self._allocations.allocate(
-                    record.team,
-                    attempt,
-                    task.active_attempt.worker,
-                    resources,
-                    is_suspect=is_suspect(task.crash_score),
-                )
+                self._allocations.restore(record, key)
 
     def _change_unstarted_count(self, record: JobRecord, change: int) -> None:
         count = self.count_unstarted_jobs(record.queue) + change
@@ -420,37 +341,6 @@
         if not record.is_open or not record.step(key).remaining_tasks:
             self._effects.append(commands.StepClosed(key))
 
-    def _can_start(self, group: list[commands.AttemptStart]) -> bool:
-        required_by_worker: dict[WorkerId, Resources] = {}
-        if not self._is_within_team_limit(group) or not _satisfies_spread(
-            group, self._data
-        ):
-            return False
-        for start in group:
-            worker = self._data.worker_by_id.get(start.worker)
-            record = self._data.job_by_id.get(start.attempt.task.step.job)
-            if worker is None or worker.info.incarnation != start.incarnation:
-                return False
-            if record is None or not can_start(record, start):
-                return False
-            required = required_by_worker.get(start.worker, NO_RESOURCES)
-            required += self.step_spec(start.attempt.task.step).resources
-            required_by_worker[start.worker] = required
-            if not required.fits_in(worker.free_resources):
-                return False
-        return True
-
-    def _is_within_team_limit(self, group: list[commands.AttemptStart]) -> bool:
-        record = self._data.job_by_id.get(group[0].attempt.task.step.job)
-        if record is None:
-            return False
-        team = self.configuration_index.team_by_name.get(record.team)
-        if team is None:
-            return True
-        resources = self.step_spec(group[0].attempt.task.step).resources
-        usage = self.usage_of(team.name) + resources * len(group)
-        return is_within_limit(usage, team.limit)
-
     def _start_attempt(self, start: commands.AttemptStart, term: int) -> None:
         key = start.attempt.task.step
         record = self._data.job_by_id[key.job]
