Count a crash that is known only after the worker's lease

What callers saw: a task that crashes its workers was started again without a bound when each worker came back after its leases had expired.

Cause: the removal of a silent worker ends its attempts as lost without evidence, and the worker's return in a new incarnation finds no attempt to charge.

Change: the results of such a removal carry the evidence of a possible crash.

Only replies to polls are trusted, since a heartbeat may be late. An incarnation that started before the leases had expired counts in full, a later one as weak evidence: then the leases may have ended the attempts first. Draining explains a loss, also when it is told late.

Why it works: the ends and their evidence are one command, so the next leader has both or neither, and resolving removes them, so each counts once. Crashes against tasks that are done and jobs that are over change nothing.

Evidence: eight of the thirteen tests of test_late_crashes.py failed before, among them test_crash_that_is_told_after_the_lease_is_counted (score 0 instead of 4) and test_task_whose_crashes_are_all_told_late_is_given_up (job still active after five).

--- a/libs/workflows/src/cassiahold/workflows/allocations.py
+++ b/libs/workflows/src/cassiahold/workflows/allocations.py
@@ -53,6 +53,10 @@
             worker.suspect_attempts.add(attempt)
         self._allocated_by_team[team] = self.usage_of(team) + resources
 
+    def mark_suspect(self, attempt: AttemptKey, worker_id: WorkerId) -> None:
+        """Mark the attempt of a task that has become a suspect."""
+        self._worker_by_id[worker_id].suspect_attempts.add(attempt)
+
     def restore(self, record: JobRecord, key: StepKey) -> None:
         """Allocate the resources of a step's attempts in progress."""
         resources = record.spec.steps[key.step_index].resources
--- a/libs/workflows/src/cassiahold/workflows/attempt_results.py
+++ b/libs/workflows/src/cassiahold/workflows/attempt_results.py
@@ -88,7 +88,10 @@
     if task.is_done:
         return None
     if result.crash is not CrashEvidence.NONE:
-        return _count_crash(task, result, spec)
+        if _has_proven_run(spec, result):
+            task.crash_score = 0
+            return None
+        return count_crash(task, result.crash)
     if result.outcome is AttemptOutcome.FAILED and not spec.is_long_running:
         task.failures += 1
         step.gang_failures += int(spec.is_gang)
@@ -97,6 +100,28 @@
     return None
 
 
+def count_crash(
+    task: TaskRecord, evidence: CrashEvidence
+) -> FailureReason | None:
+    """Count a crash of a worker; return why the job is hopeless, if it is."""
+    if task.is_done:
+        return None
+    task.crash_score += evidence
+    if task.crash_score >= MAX_CRASH_SCORE:
+        return FailureReason.CRASHES
+    return None
+
+
+def may_have_crashed(record: JobRecord, result: AttemptResult) -> bool:
+    """Tell whether an attempt may turn out to have ended with a crash."""
+    spec = record.spec.steps[result.attempt.task.step.step_index]
+    return (
+        record.is_open
+        and result.possible_crash is not CrashEvidence.NONE
+        and not _has_proven_run(spec, result)
+    )
+
+
 def has_exhausted_task(record: JobRecord, queue: QueuePolicy | None) -> bool:
     """Tell whether a task that waits has failed as often as its queue allows.
 
@@ -109,6 +134,11 @@
     )
 
 
+def _has_proven_run(spec: StepSpec, result: AttemptResult) -> bool:
+    """Tell whether an attempt ran too long to have crashed its worker."""
+    return spec.is_long_running and result.duration_s >= PROVEN_RUN_S
+
+
 def _is_task_exhausted(
     record: JobRecord, key: StepKey, task_index: int, queue: QueuePolicy | None
 ) -> bool:
@@ -119,15 +149,3 @@
         else step.tasks[task_index].failures
     )
     return queue is not None and failures >= max(queue.max_attempts, 1)
-
-
-def _count_crash(
-    task: TaskRecord, result: AttemptResult, spec: StepSpec
-) -> FailureReason | None:
-    if spec.is_long_running and result.duration_s >= PROVEN_RUN_S:
-        task.crash_score = 0
-        return None
-    task.crash_score += result.crash
-    if task.crash_score >= MAX_CRASH_SCORE:
-        return FailureReason.CRASHES
-    return None
--- a/libs/workflows/src/cassiahold/workflows/command_dispatch.py
+++ b/libs/workflows/src/cassiahold/workflows/command_dispatch.py
@@ -9,6 +9,7 @@
 from cassiahold.workflows import commands
 
 if typing.TYPE_CHECKING:
+    from cassiahold.workflows.lost_attempts import LostAttempt
     from cassiahold.workflows.state import WorkflowState
 
 
@@ -62,6 +63,13 @@
     state.remove_worker(command)
 
 
+@apply_command.register(commands.ResolveLostWorker)
+def _(
+    command: commands.ResolveLostWorker, state: 'WorkflowState'
+) -> 'list[LostAttempt]':
+    return state.resolve_lost_worker(command)
+
+
 @apply_command.register(commands.PutConfiguration)
 def _(command: commands.PutConfiguration, state: 'WorkflowState') -> bool:
     return state.put_configuration(command)
--- a/libs/workflows/src/cassiahold/workflows/commands.py
+++ b/libs/workflows/src/cassiahold/workflows/commands.py
@@ -64,7 +64,8 @@
     """How an attempt ended on one incarnation of a worker.
 
     ``duration_s`` is 0 when the start or the end was not observed.  ``crash``
-    is set when the worker crashed while the attempt may have been running.
+    is set when the worker crashed while the attempt may have been running,
+    ``possible_crash`` when the worker was lost and may have crashed.
     """
 
     attempt: AttemptKey
@@ -73,6 +74,7 @@
     checkpoint: str = ''
     duration_s: float = 0.0
     crash: CrashEvidence = CrashEvidence.NONE
+    possible_crash: CrashEvidence = CrashEvidence.NONE
 
 
 class EndAttempts(msgspec.Struct, frozen=True, tag='end'):
@@ -101,6 +103,17 @@
     removed_at: float = msgspec.field(name='at')
 
 
+class ResolveLostWorker(msgspec.Struct, frozen=True, tag='returned'):
+    """Records that a worker replies whose attempts ended as lost before.
+
+    ``incarnation`` is the one that replies; another one has crashed.
+    """
+
+    id: WorkerId
+    incarnation: int = msgspec.field(name='born')
+    resolved_at: float = msgspec.field(name='at')
+
+
 class PutConfiguration(msgspec.Struct, frozen=True, tag='configure'):
     """Adopts a configuration when its version is higher.
 
@@ -126,6 +139,7 @@
     | EndAttempts
     | RegisterWorker
     | RemoveWorker
+    | ResolveLostWorker
     | PutConfiguration
     | PruneJobs
 )
--- /dev/null
+++ b/libs/workflows/src/cassiahold/workflows/lost_attempts.py
@@ -0,0 +1,93 @@
+"""Memory of attempts whose worker was lost without a known cause.
+
+When all leases of a silent worker have expired, its attempts end as lost: the
+worker has crashed or was only cut off.  Once it replies again, its incarnation
+tells which.  The memory is part of the replicated state and is bounded in time
+and size.
+"""
+
+import typing
+
+import msgspec
+
+from cassiahold.core.ids import WorkerId
+from cassiahold.workflows.crashes import CrashEvidence
+from cassiahold.workflows.model import AttemptKey
+
+# A worker that returns later says little about what ran there.
+LOSS_MEMORY_S: typing.Final = 300.0
+MAX_LOST_WORKERS: typing.Final = 512
+_MS: typing.Final = 1000
+
+
+class LostAttempt(msgspec.Struct, frozen=True, array_like=True):
+    """An attempt that ended with an incarnation of a worker that was lost.
+
+    ``evidence`` counts if that incarnation crashed.  ``ended_at`` is when all
+    of its leases had expired, in seconds since 1970.
+    """
+
+    attempt: AttemptKey
+    worker: WorkerId
+    incarnation: int
+    evidence: CrashEvidence
+    ended_at: float
+
+    def weigh(self, incarnation: int) -> CrashEvidence:
+        """Return the evidence once another incarnation is known to live.
+
+        An incarnation that started before the leases had expired proves that
+        the earlier one ended while the attempt may have been running.  After
+        a later start, the leases may have ended the attempt before.
+        """
+        if incarnation == self.incarnation:
+            return CrashEvidence.NONE
+        if incarnation <= self.ended_at * _MS:
+            return self.evidence
+        return min(self.evidence, CrashEvidence.PRESENT)
+
+
+class LostAttempts:
+    """Lost attempts by worker, those that were lost first come first."""
+
+    def __init__(self) -> None:
+        self._lost_by_worker: dict[WorkerId, list[LostAttempt]] = {}
+
+    def __iter__(self) -> typing.Iterator[LostAttempt]:
+        """Iterate over the attempts of all workers."""
+        for lost_attempts in self._lost_by_worker.values():
+            yield from lost_attempts
+
+    def __contains__(self, worker: WorkerId) -> bool:
+        """Tell whether the end of attempts of a worker is unexplained."""
+        return worker in self._lost_by_worker
+
+    def add(self, lost: LostAttempt) -> None:
+        """Add an attempt; drop those of the oldest worker when full."""
+        self._lost_by_worker.setdefault(lost.worker, []).append(lost)
+        if len(self._lost_by_worker) > MAX_LOST_WORKERS:
+            self._lost_by_worker.pop(next(iter(self._lost_by_worker)))
+
+    def forget_incarnation(self, worker: WorkerId, incarnation: int) -> None:
+        """Drop the attempts of an incarnation whose end is explained."""
+        remaining = [
+            lost
+            for lost in self._lost_by_worker.pop(worker, ())
+            if lost.incarnation != incarnation
+        ]
+        if remaining:
+            self._lost_by_worker[worker] = remaining
+
+    def resolve(
+        self, worker: WorkerId, incarnation: int, resolved_at: float
+    ) -> list[LostAttempt]:
+        """Remove the attempts of a worker that replies again.
+
+        Returns those that count against their tasks, with their evidence.
+        """
+        return [
+            msgspec.structs.replace(lost, evidence=evidence)
+            for lost in self._lost_by_worker.pop(worker, ())
+            if resolved_at < lost.ended_at + LOSS_MEMORY_S
+            and (evidence := lost.weigh(incarnation)) is not CrashEvidence.NONE
+        ]
--- a/libs/workflows/src/cassiahold/workflows/snapshots.py
+++ b/libs/workflows/src/cassiahold/workflows/snapshots.py
@@ -11,6 +11,7 @@
 from cassiahold.core.ids import JobId, WorkerId
 from cassiahold.workflows.commands import RegisterWorker
 from cassiahold.workflows.configuration import CellConfiguration
+from cassiahold.workflows.lost_attempts import LostAttempt, LostAttempts
 from cassiahold.workflows.model import JobRecord, WorkerRecord
 from cassiahold.workflows.speeds import SpeedEstimate
 
@@ -24,6 +25,7 @@
     worker_by_id: dict[WorkerId, WorkerRecord] = msgspec.field(
         default_factory=dict
     )
+    lost_attempts: LostAttempts = msgspec.field(default_factory=LostAttempts)
 
 
 class _Snapshot(msgspec.Struct, array_like=True):
@@ -32,6 +34,7 @@
     jobs: list[JobRecord]
     workers: list[RegisterWorker]
     speeds: list[SpeedEstimate] = msgspec.field(default_factory=list)
+    lost_attempts: list[LostAttempt] = msgspec.field(default_factory=list)
 
 
 _encode: typing.Final = msgspec.msgpack.Encoder().encode
@@ -51,6 +54,7 @@
                 for worker in workers
             ],
             [worker.speed_estimate for worker in workers],
+            list(data.lost_attempts),
         )
     )
 
@@ -73,4 +77,6 @@
         data.worker_by_id.values(), snapshot.speeds, strict=False
     ):
         worker.speed_estimate = speed_estimate
+    for lost in snapshot.lost_attempts:
+        data.lost_attempts.add(lost)
     return data
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -16,8 +16,10 @@
 from cassiahold.workflows.allocations import AllocationLedger
 from cassiahold.workflows.attempt_results import (
     count_against_task,
+    count_crash,
     has_exhausted_task,
     mark_done,
+    may_have_crashed,
     store_checkpoint,
     update_speed,
 )
@@ -27,6 +29,7 @@
     ConfigurationIndex,
 )
 from cassiahold.workflows.crashes import is_suspect
+from cassiahold.workflows.lost_attempts import LostAttempt
 from cassiahold.workflows.model import (
     AttemptKey,
     AttemptOutcome,
@@ -100,6 +103,10 @@
         """Return the registered workers."""
         return self._data.worker_by_id
 
+    def has_lost_attempts(self, worker: WorkerId) -> bool:
+        """Tell whether a worker was lost and it is not known why."""
+        return worker in self._data.lost_attempts
+
     def usage_of(self, team: TeamName) -> Resources:
         """Return the resources allocated to a team's attempts."""
         return self._allocations.usage_of(team)
@@ -255,6 +262,10 @@
         record.info = info
         if command.sequence is not None:
             record.sequence = max(command.sequence, 0)
+        if info.is_draining:
+            self._data.lost_attempts.forget_incarnation(
+                info.id, info.incarnation
+            )
         self._effects.append(commands.WorkerChanged(info.id))
         return True
 
@@ -272,6 +283,20 @@
         self._data.worker_by_id.pop(command.id)
         self._effects.append(commands.WorkerChanged(command.id))
 
+    def resolve_lost_worker(
+        self, command: commands.ResolveLostWorker
+    ) -> list[LostAttempt]:
+        """Count the crash of a lost worker that replies again.
+
+        Returns the attempts that count, none if the worker was only cut off.
+        """
+        crashed_attempts = self._data.lost_attempts.resolve(
+            command.id, command.incarnation, command.resolved_at
+        )
+        for lost in crashed_attempts:
+            self._count_late_crash(lost, command.resolved_at)
+        return crashed_attempts
+
     def put_configuration(self, command: commands.PutConfiguration) -> bool:
         """Adopt a configuration; return False unless its version is higher.
 
@@ -384,9 +409,35 @@
         task.active_attempt = None
         if result.checkpoint:
             store_checkpoint(record, result)
+        if may_have_crashed(record, result):
+            self._data.lost_attempts.add(
+                LostAttempt(
+                    result.attempt,
+                    result.worker,
+                    attempt.incarnation,
+                    result.possible_crash,
+                    ended_at,
+                )
+            )
         self._apply_result(record, result, ended_at)
         self._update_waiting_step(record, key)
 
+    def _count_late_crash(self, lost: LostAttempt, counted_at: float) -> None:
+        """Count a crash against a task that may be running elsewhere."""
+        key = lost.attempt.task
+        record = self._data.job_by_id.get(key.step.job)
+        if record is None or not record.is_open:
+            return
+        task = record.step(key.step).tasks[key.task_index]
+        reason = count_crash(task, lost.evidence)
+        if reason is not None:
+            self._finish_job(record, JobState.FAILED, counted_at, reason)
+        current = task.active_attempt
+        if current is not None and is_suspect(task.crash_score):
+            self._allocations.mark_suspect(
+                AttemptKey(key, current.attempt_number), current.worker
+            )
+
     def _apply_result(
         self, record: JobRecord, result: commands.AttemptResult, ended_at: float
     ) -> None:
--- a/programs/cell/src/cassiahold/cell/attempt_ends.py
+++ b/programs/cell/src/cassiahold/cell/attempt_ends.py
@@ -3,6 +3,8 @@
 import time
 import typing
 
+import msgspec
+
 from cassiahold.cell.attempt_stopper import AttemptStopper
 from cassiahold.core import logs
 from cassiahold.core.clock import boottime_s
@@ -10,6 +12,7 @@
 from cassiahold.workflows import commands
 from cassiahold.workflows.crashes import CrashEvidence
 from cassiahold.workflows.health import HealthTracker
+from cassiahold.workflows.lost_attempts import LostAttempt
 from cassiahold.workflows.model import AttemptKey, AttemptOutcome
 from cassiahold.workflows.sessions import WorkerSession
 from cassiahold.workflows.state import WorkflowState
@@ -64,6 +67,32 @@
             ),
         )
 
+    def record_late_crash(
+        self,
+        session: WorkerSession,
+        crashed_attempts: typing.Sequence[LostAttempt],
+    ) -> None:
+        """Record that a worker returned whose attempts ended as lost."""
+        logs.info(
+            'lost_worker_returned',
+            worker=session.info.id,
+            born=session.info.incarnation,
+            crashed_attempts=len(crashed_attempts),
+        )
+        for lost in crashed_attempts:
+            self._metrics.incr('late_crash')
+            step = lost.attempt.task.step
+            logs.info(
+                'crash_counted_late',
+                job=step.job,
+                step=step.step_index,
+                task=lost.attempt.task.task_index,
+                attempt=lost.attempt.attempt_number,
+                worker=lost.worker,
+                born=lost.incarnation,
+                crash=lost.evidence.name.lower(),
+            )
+
     def record_departure(self, session: WorkerSession) -> None:
         """Note that no attempt of a worker that left ends with a crash."""
         worker = self._state.worker_by_id.get(session.info.id)
@@ -74,19 +103,31 @@
                 )
 
     def lost_with_worker(
-        self, session: WorkerSession
+        self, session: WorkerSession, *, is_explained: bool
     ) -> list[commands.AttemptResult]:
-        """Return the results of all attempts of a worker that is gone."""
+        """Return the results of all attempts of a worker that is gone.
+
+        Unless the loss is explained, the worker may have crashed.
+        """
         worker = self._state.worker_by_id.get(session.info.id)
         if worker is None:
             return []
+        attempts = list(worker.resources_by_attempt)
+        possible_evidence = (
+            {} if is_explained else session.weigh_crash(attempts)
+        )
         results = [
-            self.complete(
+            self._complete_lost(
                 commands.AttemptResult(
-                    attempt, session.info.id, AttemptOutcome.LOST
+                    attempt,
+                    session.info.id,
+                    AttemptOutcome.LOST,
+                    possible_crash=possible_evidence.get(
+                        attempt, CrashEvidence.NONE
+                    ),
                 )
             )
-            for attempt in worker.resources_by_attempt
+            for attempt in attempts
         ]
         self._health.forget_worker(session.info.id, worker.resources_by_attempt)
         for result in results:
@@ -99,13 +140,12 @@
     ) -> commands.AttemptResult:
         """Add the checkpoint, the duration and the evidence of a crash."""
         attempt = result.attempt
-        return commands.AttemptResult(
-            attempt,
-            result.worker,
-            result.outcome,
-            result.checkpoint or self._checkpoint_by_attempt.get(attempt, ''),
-            self._health.attempt_duration_s(attempt, boottime_s()),
-            self._crash_evidence(result),
+        return msgspec.structs.replace(
+            result,
+            checkpoint=result.checkpoint
+            or self._checkpoint_by_attempt.get(attempt, ''),
+            duration_s=self._health.attempt_duration_s(attempt, boottime_s()),
+            crash=self._crash_evidence(result),
         )
 
     def record_stored(self, result: commands.AttemptResult) -> None:
@@ -125,6 +165,17 @@
         """Return the command that stores some results."""
         return commands.EndAttempts(results, time.time())
 
+    def _complete_lost(
+        self, result: commands.AttemptResult
+    ) -> commands.AttemptResult:
+        completed = self.complete(result)
+        if completed.crash is CrashEvidence.NONE:
+            return completed
+        # A crash that is counted already must not count again.
+        return msgspec.structs.replace(
+            completed, possible_crash=CrashEvidence.NONE
+        )
+
     def _crash_evidence(self, result: commands.AttemptResult) -> CrashEvidence:
         if result.outcome is not AttemptOutcome.LOST:
             return CrashEvidence.NONE
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -27,6 +27,7 @@
 from cassiahold.workflows import commands
 from cassiahold.workflows.advisor_replies import AdvisorReplyCache
 from cassiahold.workflows.health import HealthTracker
+from cassiahold.workflows.lost_attempts import LostAttempt
 from cassiahold.workflows.model import AttemptKey, AttemptOutcome, WorkerInfo
 from cassiahold.workflows.sessions import WorkerSession
 from cassiahold.workflows.state import WorkflowState
@@ -144,9 +145,12 @@
             if worker_id in self._crashed_workers:
                 self._crashed_workers.remove(worker_id)
                 self._attempt_ends.record_crash(session)
+            is_explained = is_deregistered or session.info.is_draining
             removals.append(
                 self._attempt_ends.end_command(
-                    self._attempt_ends.lost_with_worker(session)
+                    self._attempt_ends.lost_with_worker(
+                        session, is_explained=is_explained
+                    )
                 )
             )
             removals.append(
@@ -270,6 +274,10 @@
             return self._next_poll(session, now, max_wait_s=0.0)
         if request.reply.incarnation not in {0, session.info.incarnation}:
             return self._update_incarnation(session, request.reply.incarnation)
+        if request.reply.incarnation and self._state.has_lost_attempts(
+            request.worker
+        ):
+            return self._resolve_lost_worker(session)
         return self._handle_poll_reply(session, request, now)
 
     def _mark_replaced(self, worker: WorkerId, now: float) -> None:
@@ -296,6 +304,26 @@
             lambda _: local.SessionClosed(),
         )
 
+    def _resolve_lost_worker(self, session: WorkerSession) -> Proposal:
+        """Propose to count a crash that was not known when the lease ended."""
+        info = session.info
+        return Proposal(
+            commands.encode_command(
+                commands.ResolveLostWorker(
+                    info.id, info.incarnation, time.time()
+                )
+            ),
+            lambda crashed_attempts: self._handle_resolved_loss(
+                session, crashed_attempts
+            ),
+        )
+
+    def _handle_resolved_loss(
+        self, session: WorkerSession, crashed_attempts: list[LostAttempt]
+    ) -> PollRequest:
+        self._attempt_ends.record_late_crash(session, crashed_attempts)
+        return self._next_poll(session, boottime_s())
+
     def _handle_poll_reply(
         self, session: WorkerSession, request: local.PollDone, now: float
     ) -> PollRequest | Proposal:
--- a/programs/cell/tests/leader_fixtures.py
+++ b/programs/cell/tests/leader_fixtures.py
@@ -106,12 +106,15 @@
         fence = self.sender.fence_by_worker[worker]
         return self.handle(local.PollDone(worker, fence, reply, boottime_s()))
 
-    def reply_to_poll_at(self, name: str, now: float) -> None:
+    def reply_to_poll_at(
+        self, name: str, now: float, incarnation: int = 1
+    ) -> None:
         """Let a worker reply at a later time that it runs nothing."""
         worker = WorkerId(name)
         fence = self.sender.fence_by_worker[worker]
+        reply = PollReply(incarnation, 1000, (), ())
         self.service.handle_request(
-            local.PollDone(worker, fence, PollReply(1, 1000, (), ()), now), now
+            local.PollDone(worker, fence, reply, now), now
         )
 
     def send_heartbeat(
--- /dev/null
+++ b/programs/cell/tests/test_late_crashes.py
@@ -0,0 +1,202 @@
+"""Tests of crashes that are told after the worker's lease, without I/O."""
+
+import time
+
+from leader_fixtures import LeaderFixture, make_leader, submit
+
+from cassiahold.cell import local_requests as local
+from cassiahold.cell import requests
+from cassiahold.cell.clients import ReplyStatus, StartRequest, WorkerReply
+from cassiahold.core.clock import boottime_s
+from cassiahold.core.ids import WorkerId
+from cassiahold.core.testing import function_tests
+from cassiahold.workflows.crashes import CrashEvidence
+from cassiahold.workflows.model import AttemptOutcome, JobState
+from cassiahold.workflows.sessions import EndedAttempt
+
+LEASE_S = 8
+MAX_STARTS = 5
+# A worker that has started long after every lease that the tests let expire.
+LATE_INCARNATION = int((time.time() + 3600) * 1000)
+
+
+def confirm(leader: LeaderFixture, start: StartRequest) -> None:
+    leader.handle(
+        local.StartDone(
+            start.worker.id,
+            start.fence,
+            start.attempt,
+            WorkerReply(ReplyStatus.DONE, 1000),
+        )
+    )
+
+
+def crash_score(leader: LeaderFixture, start: StartRequest) -> int:
+    (task,) = (
+        leader.service.state.job_by_id[start.attempt.task.step.job]
+        .steps_by_occurrence[0][0]
+        .tasks
+    )
+    return task.crash_score
+
+
+def expire_lease(leader: LeaderFixture) -> None:
+    leader.apply_due_commands(boottime_s() + LEASE_S)
+    assert WorkerId('w') not in leader.service.state.worker_by_id
+
+
+def start_on_lost_worker(leader: LeaderFixture) -> StartRequest:
+    """Start a task on ``w``, of which nothing is heard until its lease ends."""
+    submit(leader, '/q/1')
+    start = leader.sender.starts[-1]
+    confirm(leader, start)
+    expire_lease(leader)
+    return start
+
+
+def return_as(leader: LeaderFixture, incarnation: int) -> None:
+    leader.send_heartbeat('w', incarnation=incarnation)
+    leader.reply_to_poll('w', incarnation=incarnation)
+
+
+def test_crash_that_is_told_after_the_lease_is_counted() -> None:
+    leader = make_leader('w')
+    start = start_on_lost_worker(leader)
+    return_as(leader, 2)
+    assert crash_score(leader, start) == CrashEvidence.ONLY_RECENT
+
+
+def test_restart_after_the_lease_counts_as_weak_evidence() -> None:
+    # The leases may have ended what ran there before the worker crashed.
+    leader = make_leader('w')
+    start = start_on_lost_worker(leader)
+    return_as(leader, LATE_INCARNATION)
+    assert crash_score(leader, start) == CrashEvidence.PRESENT
+
+
+def test_worker_that_was_only_cut_off_has_not_crashed() -> None:
+    leader = make_leader('w')
+    start = start_on_lost_worker(leader)
+    return_as(leader, 1)
+    assert not crash_score(leader, start)
+    # Nothing ran there any more when it crashed later.
+    return_as(leader, 2)
+    assert not crash_score(leader, start)
+
+
+def test_late_heartbeat_does_not_hide_a_crash() -> None:
+    # It was delayed by a cut; only the reply to a poll tells who lives there.
+    leader = make_leader('w')
+    start = start_on_lost_worker(leader)
+    leader.send_heartbeat('w', incarnation=1, sequence=9)
+    leader.reply_to_poll('w', incarnation=2)
+    leader.reply_to_poll('w', incarnation=2)
+    assert crash_score(leader, start) == CrashEvidence.ONLY_RECENT
+
+
+def test_late_crash_is_counted_once() -> None:
+    leader = make_leader('w')
+    start = start_on_lost_worker(leader)
+    for _ in range(2):
+        return_as(leader, 2)
+    leader.start_next_term()
+    return_as(leader, 2)
+    expire_lease(leader)
+    return_as(leader, 3)
+    assert crash_score(leader, start) == CrashEvidence.ONLY_RECENT
+
+
+def test_next_leader_counts_a_late_crash() -> None:
+    leader = make_leader('w')
+    start = start_on_lost_worker(leader)
+    leader.service.restore(leader.service.snapshot())
+    leader.start_next_term()
+    return_as(leader, 2)
+    assert crash_score(leader, start) == CrashEvidence.ONLY_RECENT
+
+
+def test_leader_that_saw_no_start_counts_a_late_crash() -> None:
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    leader.service.restore(leader.service.snapshot())
+    leader.start_next_term()
+    expire_lease(leader)
+    return_as(leader, 2)
+    assert crash_score(leader, start) == CrashEvidence.PRESENT
+
+
+def test_late_crash_is_counted_when_the_removal_was_not_stored() -> None:
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    # The leader fails after the ends of the attempts were stored.
+    ends, *_ = leader.service.due_commands(boottime_s() + LEASE_S)
+    leader.service.apply(ends)
+    leader.start_next_term()
+    return_as(leader, 2)
+    assert crash_score(leader, start) == CrashEvidence.ONLY_RECENT
+
+
+def test_late_crash_of_a_draining_worker_is_not_counted() -> None:
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    leader.send_heartbeat('w', sequence=2, is_draining=True)
+    expire_lease(leader)
+    return_as(leader, 2)
+    assert not crash_score(leader, start)
+
+
+def test_draining_that_is_told_late_explains_the_end_of_a_worker() -> None:
+    leader = make_leader('w')
+    start = start_on_lost_worker(leader)
+    leader.send_heartbeat('w', sequence=2, is_draining=True)
+    return_as(leader, 2)
+    assert not crash_score(leader, start)
+
+
+def test_worker_that_left_has_not_crashed() -> None:
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    leader.handle(requests.WorkerLeft(WorkerId('w'), 1))
+    expire_lease(leader)
+    return_as(leader, 2)
+    assert not crash_score(leader, start)
+
+
+def test_late_crash_does_not_change_a_finished_job() -> None:
+    leader = make_leader('w')
+    start_on_lost_worker(leader)
+    leader.send_heartbeat('v')
+    later = boottime_s() + LEASE_S + 1
+    leader.reply_to_poll_at('v', later)
+    leader.apply_due_commands(later)
+    repeated = leader.sender.starts[-1]
+    assert repeated.worker.id == 'v'
+    done = EndedAttempt(1, repeated.attempt, AttemptOutcome.DONE, '')
+    leader.reply_to_poll('v', ended=(done,))
+    return_as(leader, 2)
+    assert leader.job_state('/q/1') is JobState.COMPLETE
+
+
+def test_task_whose_crashes_are_all_told_late_is_given_up() -> None:
+    leader = make_leader('w')
+    start_on_lost_worker(leader)
+    now = boottime_s()
+    for number in range(1, MAX_STARTS + 1):
+        assert leader.job_state('/q/1') is JobState.ACTIVE
+        assert len(leader.sender.starts) == number
+        incarnation = LATE_INCARNATION + number
+        return_as(leader, incarnation)
+        now += LEASE_S + 1
+        leader.reply_to_poll_at('w', now, incarnation)
+        leader.apply_due_commands(now)
+        leader.apply_due_commands(now + LEASE_S)
+        now += LEASE_S
+    assert leader.job_state('/q/1') is JobState.FAILED
+    assert len(leader.sender.starts) == MAX_STARTS
+
+
+load_tests = function_tests(globals())
