--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -51,6 +51,7 @@
 from cassiahold.workflows.speeds import SpeedEstimate
 from cassiahold.workflows.start_checks import can_start_group
 from cassiahold.workflows.steps import has_startable_tasks, step_keys
+from cassiahold.workflows.stops import gang_stops, job_stops
 
 _ABORTED_STATES: typing.Final = frozenset((JobState.FAILED, JobState.CANCELLED))
 
@@ -448,8 +449,8 @@
         if result.outcome is AttemptOutcome.DONE and not spec.is_long_running:
             self._complete_task(record, result, ended_at)
             return
-        if spec.is_gang:
-            self._stop_gang_members(record, result)
+        if spec.is_gang and record.step(key).remaining_tasks:
+            self._effects.extend(gang_stops(result.attempt, self))
         self._fail_job_if_hopeless(record, result, ended_at)
 
     def _complete_task(
@@ -474,21 +475,6 @@
         if reason is not None:
             self._finish_job(record, JobState.FAILED, ended_at, reason)
 
-    def _stop_gang_members(
-        self, record: JobRecord, result: commands.AttemptResult
-    ) -> None:
-        key = result.attempt.task.step
-        if not record.step(key).remaining_tasks:
-            return
-        for member in self.gang_members(result.attempt):
-            attempt = self.find_attempt(member.task)
-            if attempt is not None:
-                self._effects.append(
-                    commands.AttemptStopRequired(
-                        member, attempt.worker, 'gang_broken'
-                    )
-                )
-
     def _finish_job(
         self,
         record: JobRecord,
@@ -506,16 +492,5 @@
             )
         )
         self._update_waiting_steps(record)
-        if state is JobState.COMPLETE:
-            return
-        for key in step_keys(record):
-            for index, task in enumerate(record.step(key).tasks):
-                if task.active_attempt is not None:
-                    attempt = AttemptKey(
-                        TaskKey(key, index), task.active_attempt.attempt_number
-                    )
-                    self._effects.append(
-                        commands.AttemptStopRequired(
-                            attempt, task.active_attempt.worker, state.value
-                        )
-                    )
+        if state is not JobState.COMPLETE:
+            self._effects.extend(job_stops(record))
