Store which incarnation of a worker has left

What callers saw: the crash score of sound tasks rose after graceful departures, when the leader changed before the worker was back, or when its order to leave came after its leases had expired or after its return.

Cause: only the leader that got the departure knew of it, in memory. Of a draining worker the state knew it only until the next incarnation was registered.

Change: a departure is a command of the log now, and the acknowledgement waits for it. An attempt of a departed incarnation never counts as crashed, so the note in the leader's memory is no longer needed.

--- a/libs/workflows/src/cassiahold/workflows/command_dispatch.py
+++ b/libs/workflows/src/cassiahold/workflows/command_dispatch.py
@@ -63,6 +63,11 @@
     state.remove_worker(command)
 
 
+@apply_command.register(commands.RecordDeparture)
+def _(command: commands.RecordDeparture, state: 'WorkflowState') -> None:
+    state.record_departure(command)
+
+
 @apply_command.register(commands.ResolveLostWorker)
 def _(
     command: commands.ResolveLostWorker, state: 'WorkflowState'
--- a/libs/workflows/src/cassiahold/workflows/commands.py
+++ b/libs/workflows/src/cassiahold/workflows/commands.py
@@ -103,6 +103,13 @@
     removed_at: float = msgspec.field(name='at')
 
 
+class RecordDeparture(msgspec.Struct, frozen=True, tag='left'):
+    """Records that an incarnation of a worker has left, so did not crash."""
+
+    id: WorkerId
+    incarnation: int = msgspec.field(name='born')
+
+
 class ResolveLostWorker(msgspec.Struct, frozen=True, tag='returned'):
     """Records that a worker replies whose attempts ended as lost before.
 
@@ -139,6 +146,7 @@
     | EndAttempts
     | RegisterWorker
     | RemoveWorker
+    | RecordDeparture
     | ResolveLostWorker
     | PutConfiguration
     | PruneJobs
--- a/libs/workflows/src/cassiahold/workflows/model.py
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -217,6 +217,7 @@
 
     ``suspect_attempts`` are those of tasks that may crash their worker.
     ``sequence`` is that of the newest heartbeat in the log, 0 if unknown.
+    ``departed_incarnation`` is the one that left or drained most recently.
     """
 
     info: WorkerInfo
@@ -227,6 +228,13 @@
     speed_estimate: SpeedEstimate = msgspec.field(default_factory=SpeedEstimate)
     suspect_attempts: set[AttemptKey] = msgspec.field(default_factory=set)
     sequence: int = 0
+    departed_incarnation: int | None = None
+
+    def has_departed(self, incarnation: int) -> bool:
+        """Tell whether an incarnation said that it drains or leaves."""
+        if incarnation == self.departed_incarnation:
+            return True
+        return self.info.is_draining and incarnation == self.info.incarnation
 
     def is_newer_than(self, info: WorkerInfo, sequence: int | None) -> bool:
         """Tell whether a description is older than the known one.
--- a/libs/workflows/src/cassiahold/workflows/snapshots.py
+++ b/libs/workflows/src/cassiahold/workflows/snapshots.py
@@ -35,6 +35,9 @@
     workers: list[RegisterWorker]
     speeds: list[SpeedEstimate] = msgspec.field(default_factory=list)
     lost_attempts: list[LostAttempt] = msgspec.field(default_factory=list)
+    departed_incarnation_by_worker: dict[WorkerId, int] = msgspec.field(
+        default_factory=dict
+    )
 
 
 _encode: typing.Final = msgspec.msgpack.Encoder().encode
@@ -55,6 +58,11 @@
             ],
             [worker.speed_estimate for worker in workers],
             list(data.lost_attempts),
+            {
+                worker.info.id: worker.departed_incarnation
+                for worker in workers
+                if worker.departed_incarnation is not None
+            },
         )
     )
 
@@ -77,6 +85,11 @@
         data.worker_by_id.values(), snapshot.speeds, strict=False
     ):
         worker.speed_estimate = speed_estimate
+    for (
+        worker_id,
+        incarnation,
+    ) in snapshot.departed_incarnation_by_worker.items():
+        data.worker_by_id[worker_id].departed_incarnation = incarnation
     for lost in snapshot.lost_attempts:
         data.lost_attempts.add(lost)
     return data
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -255,6 +255,8 @@
             record.sequence = command.sequence
             return True
         elif info.incarnation > record.info.incarnation:
+            if record.info.is_draining:
+                record.departed_incarnation = record.info.incarnation
             # The new incarnation may run on different hardware.
             record.speed_estimate = SpeedEstimate()
             record.sequence = 0
@@ -284,6 +286,17 @@
         self._data.worker_by_id.pop(command.id)
         self._effects.append(commands.WorkerChanged(command.id))
 
+    def record_departure(self, command: commands.RecordDeparture) -> None:
+        """Record that an incarnation of a worker has left."""
+        self._data.lost_attempts.forget_incarnation(
+            command.id, command.incarnation
+        )
+        record = self._data.worker_by_id.get(command.id)
+        if record is not None and not record.has_departed(
+            record.info.incarnation
+        ):
+            record.departed_incarnation = command.incarnation
+
     def resolve_lost_worker(
         self, command: commands.ResolveLostWorker
     ) -> list[LostAttempt]:
--- a/programs/cell/src/cassiahold/cell/attempt_ends.py
+++ b/programs/cell/src/cassiahold/cell/attempt_ends.py
@@ -93,15 +93,6 @@
                 crash=lost.evidence.name.lower(),
             )
 
-    def record_departure(self, session: WorkerSession) -> None:
-        """Note that no attempt of a worker that left ends with a crash."""
-        worker = self._state.worker_by_id.get(session.info.id)
-        if worker is not None:
-            for attempt in worker.resources_by_attempt:
-                self._evidence_by_attempt.setdefault(
-                    attempt, CrashEvidence.NONE
-                )
-
     def lost_with_worker(
         self, session: WorkerSession, *, is_explained: bool
     ) -> list[commands.AttemptResult]:
@@ -179,6 +170,8 @@
     def _crash_evidence(self, result: commands.AttemptResult) -> CrashEvidence:
         if result.outcome is not AttemptOutcome.LOST:
             return CrashEvidence.NONE
+        if self._has_departed(result):
+            return CrashEvidence.NONE
         evidence = self._evidence_by_attempt.get(result.attempt)
         if evidence is not None:
             return evidence
@@ -189,6 +182,13 @@
             else CrashEvidence.NONE
         )
 
+    def _has_departed(self, result: commands.AttemptResult) -> bool:
+        worker = self._state.worker_by_id.get(result.worker)
+        record = self._state.find_attempt(result.attempt.task)
+        if worker is None or record is None:
+            return False
+        return worker.has_departed(record.incarnation)
+
     def _has_outlived_worker(self, result: commands.AttemptResult) -> bool:
         worker = self._state.worker_by_id.get(result.worker)
         record = self._state.find_attempt(result.attempt.task)
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -145,7 +145,7 @@
             if worker_id in self._crashed_workers:
                 self._crashed_workers.remove(worker_id)
                 self._attempt_ends.record_crash(session)
-            is_explained = is_deregistered or session.info.is_draining
+            is_explained = is_deregistered or self._has_departed(session)
             removals.append(
                 self._attempt_ends.end_command(
                     self._attempt_ends.lost_with_worker(
@@ -229,21 +229,36 @@
 
     def deregister(
         self, request: requests.WorkerLeft, now: float
-    ) -> requests.Acknowledged:
+    ) -> requests.Acknowledged | Proposal:
         """Handle a worker's deregistration.
 
-        One that names another incarnation than the session's is ignored.
+        One that names another incarnation than the session's removes nothing,
+        but tells that this incarnation has not crashed.
         """
         session = self._session_by_worker.get(request.id)
-        if session is not None and request.incarnation in {
+        incarnation = request.incarnation
+        if session is not None and incarnation in {
             0,
             session.info.incarnation,
         }:
+            incarnation = session.info.incarnation
             self._deregistered_at_by_worker.setdefault(request.id, now)
-            logs.info(
-                'worker_left', worker=request.id, born=request.incarnation
-            )
-        return requests.Acknowledged()
+            logs.info('worker_left', worker=request.id, born=incarnation)
+        if not self._is_departure_new(request.id, incarnation):
+            return requests.Acknowledged()
+        return Proposal(
+            commands.encode_command(
+                commands.RecordDeparture(request.id, incarnation)
+            ),
+            lambda _: requests.Acknowledged(),
+        )
+
+    def _is_departure_new(self, worker: WorkerId, incarnation: int) -> bool:
+        """Tell whether the state may have to change for a departure."""
+        if self._state.has_lost_attempts(worker):
+            return True
+        record = self._state.worker_by_id.get(worker)
+        return record is not None and not record.has_departed(incarnation)
 
     def _heartbeat_accepted(self) -> requests.HeartbeatAccepted:
         return requests.HeartbeatAccepted(self._settings.address)
@@ -285,7 +300,7 @@
         session = self._session_by_worker.get(worker)
         if (
             session is not None
-            and not session.info.is_draining
+            and not self._has_departed(session)
             and worker not in self._deregistered_at_by_worker
         ):
             self._crashed_workers.add(worker)
@@ -568,6 +583,12 @@
             return None
         return session
 
+    def _has_departed(self, session: WorkerSession) -> bool:
+        record = self._state.worker_by_id.get(session.info.id)
+        return record is not None and record.has_departed(
+            session.info.incarnation
+        )
+
     def _refresh_session(self, worker_id: WorkerId, now: float) -> None:
         record = self._state.worker_by_id.get(worker_id)
         if record is None:
@@ -584,14 +605,10 @@
 
     def _open_session(self, info: WorkerInfo, now: float) -> None:
         previous_session = self._session_by_worker.get(info.id)
-        if previous_session is not None:
-            if info.id in self._crashed_workers or not (
-                previous_session.info.is_draining
-                or info.id in self._deregistered_at_by_worker
-            ):
-                self._attempt_ends.record_crash(previous_session)
-            else:
-                self._attempt_ends.record_departure(previous_session)
+        if previous_session is not None and not self._has_departed(
+            previous_session
+        ):
+            self._attempt_ends.record_crash(previous_session)
         self._fence_count += 1
         fence = self._term * MAX_FENCES_PER_TERM + self._fence_count
         session = WorkerSession(
--- a/programs/cell/tests/leader_fixtures.py
+++ b/programs/cell/tests/leader_fixtures.py
@@ -5,7 +5,12 @@
 from cassiahold.agreement.replica import Proposal
 from cassiahold.cell import local_requests as local
 from cassiahold.cell import requests
-from cassiahold.cell.clients import StartRequest, StopRequest
+from cassiahold.cell.clients import (
+    ReplyStatus,
+    StartRequest,
+    StopRequest,
+    WorkerReply,
+)
 from cassiahold.cell.service import CellService
 from cassiahold.cell.settings import CellSettings
 from cassiahold.core.clock import boottime_s
@@ -43,6 +48,8 @@
     (ServicePolicy(ServiceName('s')),),
     (TeamPolicy(TeamName('t'), ('key',)),),
 )
+# After this time without a reply every lease of a worker has expired.
+LEASE_S = 8
 SPEC = WorkflowSpec('payload', (StepSpec(1, Resources(1000, 10)),))
 
 
@@ -152,3 +159,42 @@
 def submit(leader: LeaderFixture, path: str, key: str = 'key') -> None:
     leader.handle(requests.SubmitWork('h', path, key, SPEC))
     leader.apply_due_commands()
+
+
+def confirm(leader: LeaderFixture, start: StartRequest) -> None:
+    leader.handle(
+        local.StartDone(
+            start.worker.id,
+            start.fence,
+            start.attempt,
+            WorkerReply(ReplyStatus.DONE, 1000),
+        )
+    )
+
+
+def crash_score(leader: LeaderFixture, start: StartRequest) -> int:
+    (task,) = (
+        leader.service.state.job_by_id[start.attempt.task.step.job]
+        .steps_by_occurrence[0][0]
+        .tasks
+    )
+    return task.crash_score
+
+
+def expire_lease(leader: LeaderFixture) -> None:
+    leader.apply_due_commands(boottime_s() + LEASE_S)
+    assert WorkerId('w') not in leader.service.state.worker_by_id
+
+
+def start_on_lost_worker(leader: LeaderFixture) -> StartRequest:
+    """Start a task on ``w``, of which nothing is heard until its lease ends."""
+    submit(leader, '/q/1')
+    start = leader.sender.starts[-1]
+    confirm(leader, start)
+    expire_lease(leader)
+    return start
+
+
+def return_as(leader: LeaderFixture, incarnation: int) -> None:
+    leader.send_heartbeat('w', incarnation=incarnation)
+    leader.reply_to_poll('w', incarnation=incarnation)
--- /dev/null
+++ b/programs/cell/tests/test_departures.py
@@ -0,0 +1,95 @@
+"""Tests of workers that drain and leave, across leaders, without I/O."""
+
+from leader_fixtures import (
+    LeaderFixture,
+    confirm,
+    crash_score,
+    expire_lease,
+    make_leader,
+    return_as,
+    start_on_lost_worker,
+    submit,
+)
+
+from cassiahold.cell import requests
+from cassiahold.cell.clients import StartRequest
+from cassiahold.core.ids import WorkerId
+from cassiahold.core.testing import function_tests
+from cassiahold.workflows.crashes import CrashEvidence
+
+W = WorkerId('w')
+
+
+def start_on_worker(leader: LeaderFixture) -> StartRequest:
+    submit(leader, '/q/1')
+    start = leader.sender.starts[-1]
+    confirm(leader, start)
+    return start
+
+
+def change_leader(leader: LeaderFixture) -> None:
+    leader.service.restore(leader.service.snapshot())
+    leader.start_next_term()
+
+
+def test_next_leader_knows_that_a_worker_has_left() -> None:
+    leader = make_leader('w')
+    start = start_on_worker(leader)
+    leader.handle(requests.WorkerLeft(W, 1))
+    change_leader(leader)
+    return_as(leader, 2)
+    assert not crash_score(leader, start)
+
+
+def test_next_leader_knows_of_a_departure_after_the_lease() -> None:
+    leader = make_leader('w')
+    start = start_on_worker(leader)
+    leader.handle(requests.WorkerLeft(W, 1))
+    change_leader(leader)
+    expire_lease(leader)
+    return_as(leader, 2)
+    assert not crash_score(leader, start)
+
+
+def test_next_leader_knows_that_an_earlier_incarnation_was_draining() -> None:
+    # The worker returned under the earlier leader, but was not polled by it.
+    leader = make_leader('w')
+    start = start_on_worker(leader)
+    leader.send_heartbeat('w', sequence=2, is_draining=True)
+    leader.send_heartbeat('w', incarnation=2)
+    change_leader(leader)
+    leader.reply_to_poll('w', incarnation=2)
+    assert not crash_score(leader, start)
+
+
+def test_departure_that_is_told_after_the_lease_is_no_crash() -> None:
+    # The worker was cut off when it left; its order is repeated elsewhere.
+    leader = make_leader('w')
+    start = start_on_lost_worker(leader)
+    leader.handle(requests.WorkerLeft(W, 1))
+    return_as(leader, 2)
+    assert not crash_score(leader, start)
+
+
+def test_departure_that_is_told_after_the_return_is_no_crash() -> None:
+    leader = make_leader('w')
+    start = start_on_worker(leader)
+    leader.send_heartbeat('w', incarnation=2)
+    leader.handle(requests.WorkerLeft(W, 1))
+    leader.reply_to_poll('w', incarnation=2)
+    assert not crash_score(leader, start)
+
+
+def test_departure_does_not_hide_a_crash_of_the_next_incarnation() -> None:
+    leader = make_leader('w')
+    leader.handle(requests.WorkerLeft(W, 1))
+    return_as(leader, 2)
+    start = start_on_worker(leader)
+    # The departure of the first incarnation is repeated.
+    leader.handle(requests.WorkerLeft(W, 1))
+    change_leader(leader)
+    return_as(leader, 3)
+    assert crash_score(leader, start) == CrashEvidence.PRESENT
+
+
+load_tests = function_tests(globals())
--- a/programs/cell/tests/test_late_crashes.py
+++ b/programs/cell/tests/test_late_crashes.py
@@ -2,11 +2,17 @@
 
 import time
 
-from leader_fixtures import LeaderFixture, make_leader, submit
+from leader_fixtures import (
+    LEASE_S,
+    crash_score,
+    expire_lease,
+    make_leader,
+    return_as,
+    start_on_lost_worker,
+    submit,
+)
 
-from cassiahold.cell import local_requests as local
 from cassiahold.cell import requests
-from cassiahold.cell.clients import ReplyStatus, StartRequest, WorkerReply
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.ids import WorkerId
 from cassiahold.core.testing import function_tests
@@ -14,51 +20,11 @@
 from cassiahold.workflows.model import AttemptOutcome, JobState
 from cassiahold.workflows.sessions import EndedAttempt
 
-LEASE_S = 8
 MAX_STARTS = 5
 # A worker that has started long after every lease that the tests let expire.
 LATE_INCARNATION = int((time.time() + 3600) * 1000)
 
 
-def confirm(leader: LeaderFixture, start: StartRequest) -> None:
-    leader.handle(
-        local.StartDone(
-            start.worker.id,
-            start.fence,
-            start.attempt,
-            WorkerReply(ReplyStatus.DONE, 1000),
-        )
-    )
-
-
-def crash_score(leader: LeaderFixture, start: StartRequest) -> int:
-    (task,) = (
-        leader.service.state.job_by_id[start.attempt.task.step.job]
-        .steps_by_occurrence[0][0]
-        .tasks
-    )
-    return task.crash_score
-
-
-def expire_lease(leader: LeaderFixture) -> None:
-    leader.apply_due_commands(boottime_s() + LEASE_S)
-    assert WorkerId('w') not in leader.service.state.worker_by_id
-
-
-def start_on_lost_worker(leader: LeaderFixture) -> StartRequest:
-    """Start a task on ``w``, of which nothing is heard until its lease ends."""
-    submit(leader, '/q/1')
-    start = leader.sender.starts[-1]
-    confirm(leader, start)
-    expire_lease(leader)
-    return start
-
-
-def return_as(leader: LeaderFixture, incarnation: int) -> None:
-    leader.send_heartbeat('w', incarnation=incarnation)
-    leader.reply_to_poll('w', incarnation=incarnation)
-
-
 def test_crash_that_is_told_after_the_lease_is_counted() -> None:
     leader = make_leader('w')
     start = start_on_lost_worker(leader)
--- a/programs/cell/tests/test_worker_crashes.py
+++ b/programs/cell/tests/test_worker_crashes.py
@@ -1,10 +1,16 @@
 """Tests of tasks that crash the workers on which they start, without I/O."""
 
-from leader_fixtures import LeaderFixture, make_leader, submit
+from leader_fixtures import (
+    LeaderFixture,
+    confirm,
+    crash_score,
+    make_leader,
+    submit,
+)
 
 from cassiahold.cell import local_requests as local
 from cassiahold.cell import requests
-from cassiahold.cell.clients import ReplyStatus, StartRequest, WorkerReply
+from cassiahold.cell.clients import ReplyStatus, WorkerReply
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.ids import WorkerId
 from cassiahold.core.testing import function_tests
@@ -15,17 +21,6 @@
 MAX_STARTS = 5
 
 
-def confirm(leader: LeaderFixture, start: StartRequest) -> None:
-    leader.handle(
-        local.StartDone(
-            start.worker.id,
-            start.fence,
-            start.attempt,
-            WorkerReply(ReplyStatus.DONE, 1000),
-        )
-    )
-
-
 def fail_poll(leader: LeaderFixture, worker: WorkerId) -> None:
     fence = leader.sender.fence_by_worker[worker]
     leader.handle(local.PollDone(worker, fence, None, boottime_s()))
@@ -146,15 +141,6 @@
     assert scores == [0, 0]
 
 
-def crash_score(leader: LeaderFixture, start: StartRequest) -> int:
-    (task,) = (
-        leader.service.state.job_by_id[start.attempt.task.step.job]
-        .steps_by_occurrence[0][0]
-        .tasks
-    )
-    return task.crash_score
-
-
 def test_crash_is_seen_when_the_start_is_sent_again_after_it() -> None:
     # The first try started the task and got no reply; the next one met the
     # process that had taken the address of the crashed worker.
