Let a worker that restarted after draining get work again

What callers saw: a worker that drained and started again under its id got no work for as long as it lived, if a poll met the new incarnation before its first heartbeat. Found by reading.

Cause: what a poll tells is only the incarnation; the rest was taken over from the record, with is_draining. The heartbeats of the new incarnation then looked like late ones of a draining worker and were ignored. A new incarnation does not drain until it says so.

Evidence: test_worker_that_restarted_after_draining_gets_work_again failed before (no start).

--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -66,7 +66,9 @@
     if command.sequence != commands.NO_HEARTBEAT_SEQUENCE:
         return command.info
     return msgspec.structs.replace(
-        record.info, incarnation=command.info.incarnation
+        record.info,
+        incarnation=command.info.incarnation,
+        is_draining=False,
     )
 
 
--- a/programs/cell/tests/test_departures.py
+++ b/programs/cell/tests/test_departures.py
@@ -92,4 +92,14 @@
     assert crash_score(leader, start) == CrashEvidence.PRESENT
 
 
+def test_worker_that_restarted_after_draining_gets_work_again() -> None:
+    # A poll met the new incarnation before its first heartbeat arrived.
+    leader = make_leader('w')
+    leader.send_heartbeat('w', sequence=2, is_draining=True)
+    leader.reply_to_poll('w', incarnation=2)
+    return_as(leader, 2)
+    submit(leader, '/q/1')
+    assert len(leader.sender.starts) == 1
+
+
 load_tests = function_tests(globals())
