Register a worker whose start time goes backward

What callers saw: capacity was gone for as long as one leader led.

Cause: incarnations were ordered by start time alone. The heartbeats of the new one looked late, and so did what a poll of it found; the session stayed open without polls until its lease expired, and the heartbeats were ignored even then.

Change: the reply to a poll decides. It was sent to the registered incarnation, so another one that replies started later, whatever its start time says. The command names the incarnation that it replaces and has no effect once a third one is registered. After a removal a heartbeat with an earlier start time registers the worker, and a poll then tells whether it lives.

Left: at another address the worker is registered only after the lease.

--- a/libs/workflows/src/cassiahold/workflows/commands.py
+++ b/libs/workflows/src/cassiahold/workflows/commands.py
@@ -89,10 +89,16 @@
 
     ``sequence`` is that of the heartbeat with the description.  It is None
     in commands and snapshots of versions that did not store it.
+
+    ``replaced_incarnation`` is the one that a poll was sent to, when another
+    one replied: that one is newer, whatever their start times say.
     """
 
     info: WorkerInfo
     sequence: int | None = msgspec.field(name='seq', default=None)
+    replaced_incarnation: int | None = msgspec.field(
+        name='replaces', default=None
+    )
 
 
 class RemoveWorker(msgspec.Struct, frozen=True, tag='forget'):
--- a/libs/workflows/src/cassiahold/workflows/model.py
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -217,7 +217,8 @@
 
     ``suspect_attempts`` are those of tasks that may crash their worker.
     ``sequence`` is that of the newest heartbeat in the log, 0 if unknown.
-    ``departed_incarnation`` is the one that left or drained most recently.
+    ``departed_incarnation`` is the one that left or drained most recently,
+    ``replaced_incarnation`` one that is older though its start time is later.
     """
 
     info: WorkerInfo
@@ -229,6 +230,7 @@
     suspect_attempts: set[AttemptKey] = msgspec.field(default_factory=set)
     sequence: int = 0
     departed_incarnation: int | None = None
+    replaced_incarnation: int | None = None
 
     def has_departed(self, incarnation: int) -> bool:
         """Tell whether an incarnation said that it drains or leaves."""
@@ -240,12 +242,26 @@
         """Tell whether a description is older than the known one.
 
         Descriptions are ordered by incarnation, then by sequence.  One
-        without a sequence counts as new within its incarnation.
+        without a sequence counts as new within its incarnation.  A later
+        start time proves nothing for an incarnation that was replaced by one
+        with an earlier time, as after a step of the worker's clock.
         """
+        if info.incarnation == self.replaced_incarnation:
+            return True
         if info.incarnation != self.info.incarnation:
             return info.incarnation < self.info.incarnation
         return sequence is not None and sequence < self.sequence
 
+    def replace_incarnation(self, incarnation: int) -> None:
+        """Note what to remember of an incarnation that another replaces."""
+        if self.info.is_draining:
+            self.departed_incarnation = self.info.incarnation
+        if incarnation < self.info.incarnation:
+            self.replaced_incarnation = self.info.incarnation
+        # The new incarnation may run on different hardware.
+        self.speed_estimate = SpeedEstimate()
+        self.sequence = 0
+
     @property
     def free_resources(self) -> Resources:
         """Return the resources that are not allocated.
--- a/libs/workflows/src/cassiahold/workflows/snapshots.py
+++ b/libs/workflows/src/cassiahold/workflows/snapshots.py
@@ -38,6 +38,9 @@
     departed_incarnation_by_worker: dict[WorkerId, int] = msgspec.field(
         default_factory=dict
     )
+    replaced_incarnation_by_worker: dict[WorkerId, int] = msgspec.field(
+        default_factory=dict
+    )
 
 
 _encode: typing.Final = msgspec.msgpack.Encoder().encode
@@ -63,6 +66,11 @@
                 for worker in workers
                 if worker.departed_incarnation is not None
             },
+            {
+                worker.info.id: worker.replaced_incarnation
+                for worker in workers
+                if worker.replaced_incarnation is not None
+            },
         )
     )
 
@@ -85,11 +93,11 @@
         data.worker_by_id.values(), snapshot.speeds, strict=False
     ):
         worker.speed_estimate = speed_estimate
-    for (
-        worker_id,
-        incarnation,
-    ) in snapshot.departed_incarnation_by_worker.items():
-        data.worker_by_id[worker_id].departed_incarnation = incarnation
+    departed = snapshot.departed_incarnation_by_worker
+    replaced = snapshot.replaced_incarnation_by_worker
+    for worker_id, worker in data.worker_by_id.items():
+        worker.departed_incarnation = departed.get(worker_id)
+        worker.replaced_incarnation = replaced.get(worker_id)
     for lost in snapshot.lost_attempts:
         data.lost_attempts.add(lost)
     return data
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -48,7 +48,6 @@
     decode_snapshot,
     encode_snapshot,
 )
-from cassiahold.workflows.speeds import SpeedEstimate
 from cassiahold.workflows.start_checks import can_start_group
 from cassiahold.workflows.steps import has_startable_tasks, step_keys
 from cassiahold.workflows.stops import gang_stops, job_stops
@@ -56,6 +55,21 @@
 _ABORTED_STATES: typing.Final = frozenset((JobState.FAILED, JobState.CANCELLED))
 
 
+def _is_outdated(
+    record: WorkerRecord | None, command: commands.RegisterWorker
+) -> bool:
+    """Tell whether a description is older than what is known.
+
+    What a poll found holds only if no other incarnation was registered since.
+    """
+    replaced_incarnation = command.replaced_incarnation
+    if replaced_incarnation is not None:
+        return record is None or record.info.incarnation != replaced_incarnation
+    return record is not None and record.is_newer_than(
+        command.info, command.sequence
+    )
+
+
 def _newest_description(
     record: WorkerRecord, command: commands.RegisterWorker
 ) -> WorkerInfo:
@@ -248,21 +262,17 @@
         """
         info = command.info
         record = self._data.worker_by_id.get(info.id)
+        if _is_outdated(record, command):
+            return False
         if record is None:
             record = WorkerRecord(info)
             self._data.worker_by_id[info.id] = record
-        elif record.is_newer_than(info, command.sequence):
-            return False
         elif info == record.info and command.sequence is not None:
             record.sequence = command.sequence
             return True
-        elif info.incarnation > record.info.incarnation:
-            if record.info.is_draining:
-                record.departed_incarnation = record.info.incarnation
-            # The new incarnation may run on different hardware.
-            record.speed_estimate = SpeedEstimate()
-            record.sequence = 0
+        elif info.incarnation != record.info.incarnation:
             info = _newest_description(record, command)
+            record.replace_incarnation(info.incarnation)
         # Attempts of earlier incarnations stay until their end is known.
         record.info = info
         if command.sequence is not None:
@@ -277,7 +287,7 @@
     def remove_worker(self, command: commands.RemoveWorker) -> None:
         """Remove a worker; its attempts end as lost."""
         record = self._data.worker_by_id.get(command.id)
-        if record is None or record.info.incarnation > command.incarnation:
+        if record is None or record.info.incarnation != command.incarnation:
             return
         results = [
             commands.AttemptResult(attempt, command.id, AttemptOutcome.LOST)
--- a/programs/cell/src/cassiahold/cell/attempt_ends.py
+++ b/programs/cell/src/cassiahold/cell/attempt_ends.py
@@ -194,7 +194,7 @@
         record = self._state.find_attempt(result.attempt.task)
         if worker is None or record is None:
             return False
-        return record.incarnation < worker.info.incarnation
+        return record.incarnation != worker.info.incarnation
 
     def _forget(self, attempt: AttemptKey) -> None:
         self._checkpoint_by_attempt.pop(attempt, None)
--- a/programs/cell/src/cassiahold/cell/heartbeats.py
+++ b/programs/cell/src/cassiahold/cell/heartbeats.py
@@ -24,6 +24,7 @@
 
     def __init__(self) -> None:
         self._newest_by_worker: dict[WorkerId, _Heartbeat] = {}
+        self._removed_workers: set[WorkerId] = set()
 
     def is_outdated(
         self,
@@ -44,10 +45,21 @@
             if is_same and known.is_draining and not info.is_draining:
                 return True
         newest = self._newest_by_worker.get(info.id)
-        return (
-            newest is not None
-            and _Heartbeat(info, sequence).version < newest.version
-        )
+        if newest is None:
+            return False
+        if info.incarnation != newest.info.incarnation and (
+            self._has_ended(newest.info, registered_worker)
+        ):
+            return False
+        return _Heartbeat(info, sequence).version < newest.version
+
+    def record_removed(self, worker: WorkerId) -> None:
+        """Record that a worker was removed.
+
+        A heartbeat of another incarnation registers it again, whatever its
+        start time says: a poll then tells whether that incarnation lives.
+        """
+        self._removed_workers.add(worker)
 
     def is_stored(
         self,
@@ -72,3 +84,12 @@
     def record(self, info: WorkerInfo, sequence: int) -> None:
         """Record the newest heartbeat of a worker."""
         self._newest_by_worker[info.id] = _Heartbeat(info, sequence)
+        self._removed_workers.discard(info.id)
+
+    def _has_ended(
+        self, info: WorkerInfo, registered_worker: WorkerRecord | None
+    ) -> bool:
+        """Tell whether an incarnation was removed or replaced by an earlier."""
+        if registered_worker is None:
+            return info.id in self._removed_workers
+        return info.incarnation == registered_worker.replaced_incarnation
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -314,7 +314,11 @@
         info = msgspec.structs.replace(session.info, incarnation=incarnation)
         return Proposal(
             commands.encode_command(
-                commands.RegisterWorker(info, commands.NO_HEARTBEAT_SEQUENCE)
+                commands.RegisterWorker(
+                    info,
+                    commands.NO_HEARTBEAT_SEQUENCE,
+                    session.info.incarnation,
+                )
             ),
             lambda _: local.SessionClosed(),
         )
@@ -593,6 +597,7 @@
         record = self._state.worker_by_id.get(worker_id)
         if record is None:
             self._session_by_worker.pop(worker_id, None)
+            self._heartbeats.record_removed(worker_id)
             return
         session = self._session_by_worker.get(worker_id)
         if (
