Let a departure without an incarnation remove only a draining worker

Cause: a departure that names no incarnation was taken for the one that is registered, and its attempts were given away 0.5 s later while they ran on.

Change: such a departure removes a worker only if that is known to drain, as a worker says before it leaves. Of any other one the polls decide: if it replies to one that was sent 0.5 s later, the departure was late and is forgotten; if not, it is removed after its leases and counts as departed, not as crashed.

Evidence: test_late_departure_without_an_incarnation_removes_no_worker failed before (the worker was gone). The other two tests guard departures that are real.

Left: a worker that leaves without an incarnation and whose draining was never heard holds its tasks until its leases have expired, since giving them away earlier could run them twice.

--- a/programs/cell/src/cassiahold/cell/attempt_ends.py
+++ b/programs/cell/src/cassiahold/cell/attempt_ends.py
@@ -93,6 +93,15 @@
                 crash=lost.evidence.name.lower(),
             )
 
+    def record_departure(self, session: WorkerSession) -> None:
+        """Record that no attempt of a worker ends with a crash."""
+        worker = self._state.worker_by_id.get(session.info.id)
+        if worker is not None:
+            for attempt in worker.resources_by_attempt:
+                self._evidence_by_attempt.setdefault(
+                    attempt, CrashEvidence.NONE
+                )
+
     def lost_with_worker(
         self, session: WorkerSession, *, is_explained: bool
     ) -> list[commands.AttemptResult]:
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -69,6 +69,8 @@
         self._session_by_worker: dict[WorkerId, WorkerSession] = {}
         self._heartbeats = HeartbeatTracker()
         self._deregistered_at_by_worker: dict[WorkerId, float] = {}
+        # Departures that may be those of an earlier incarnation.
+        self._unconfirmed_departure_at_by_worker: dict[WorkerId, float] = {}
         # Workers whose address another process has taken without notice.
         self._crashed_workers: set[WorkerId] = set()
         self._unsent_results: list[commands.AttemptResult] = []
@@ -145,7 +147,12 @@
             if worker_id in self._crashed_workers:
                 self._crashed_workers.remove(worker_id)
                 self._attempt_ends.record_crash(session)
-            is_explained = is_deregistered or self._has_departed(session)
+            is_explained = (
+                is_deregistered
+                or self._has_departed(session)
+                or worker_id in self._unconfirmed_departure_at_by_worker
+            )
+            self._unconfirmed_departure_at_by_worker.pop(worker_id, None)
             removals.append(
                 self._attempt_ends.end_command(
                     self._attempt_ends.lost_with_worker(
@@ -232,23 +239,40 @@
     ) -> requests.Acknowledged | Proposal:
         """Handle a worker's deregistration.
 
-        One that names another incarnation than the session's removes nothing,
-        but tells that this incarnation has not crashed.
+        One without an incarnation may be late and mean an earlier one.  It
+        removes a worker only if that is known to be draining.
         """
         session = self._session_by_worker.get(request.id)
-        incarnation = request.incarnation
-        if session is not None and incarnation in {
-            0,
-            session.info.incarnation,
-        }:
-            incarnation = session.info.incarnation
-            self._deregistered_at_by_worker.setdefault(request.id, now)
-            logs.info('worker_left', worker=request.id, born=incarnation)
-        if not self._is_departure_new(request.id, incarnation):
+        if request.incarnation:
+            return self._handle_departure(
+                request.id, request.incarnation, session, now
+            )
+        if session is None:
+            return requests.Acknowledged()
+        if self._has_departed(session):
+            return self._handle_departure(
+                request.id, session.info.incarnation, session, now
+            )
+        self._unconfirmed_departure_at_by_worker[request.id] = now
+        logs.info('worker_may_have_left', worker=request.id)
+        return requests.Acknowledged()
+
+    def _handle_departure(
+        self,
+        worker: WorkerId,
+        incarnation: int,
+        session: WorkerSession | None,
+        now: float,
+    ) -> requests.Acknowledged | Proposal:
+        """Remove an incarnation soon and store that it has not crashed."""
+        if session is not None and session.info.incarnation == incarnation:
+            self._deregistered_at_by_worker.setdefault(worker, now)
+            logs.info('worker_left', worker=worker, born=incarnation)
+        if not self._is_departure_new(worker, incarnation):
             return requests.Acknowledged()
         return Proposal(
             commands.encode_command(
-                commands.RecordDeparture(request.id, incarnation)
+                commands.RecordDeparture(worker, incarnation)
             ),
             lambda _: requests.Acknowledged(),
         )
@@ -289,6 +313,7 @@
             return self._next_poll(session, now, max_wait_s=0.0)
         if request.reply.incarnation not in {0, session.info.incarnation}:
             return self._update_incarnation(session, request.reply.incarnation)
+        self._forget_late_departure(request)
         if request.reply.incarnation and self._state.has_lost_attempts(
             request.worker
         ):
@@ -302,6 +327,7 @@
             session is not None
             and not self._has_departed(session)
             and worker not in self._deregistered_at_by_worker
+            and worker not in self._unconfirmed_departure_at_by_worker
         ):
             self._crashed_workers.add(worker)
         self._deregistered_at_by_worker.setdefault(
@@ -323,6 +349,15 @@
             lambda _: local.SessionClosed(),
         )
 
+    def _forget_late_departure(self, request: local.PollDone) -> None:
+        """Forget a departure after which the worker still replies."""
+        left_at = self._unconfirmed_departure_at_by_worker.get(request.worker)
+        if (
+            left_at is not None
+            and request.sent_at >= left_at + DEREGISTRATION_DELAY_S
+        ):
+            self._unconfirmed_departure_at_by_worker.pop(request.worker)
+
     def _resolve_lost_worker(self, session: WorkerSession) -> Proposal:
         """Propose to count a crash that was not known when the lease ended."""
         info = session.info
@@ -587,6 +622,15 @@
             return None
         return session
 
+    def _record_end(self, session: WorkerSession) -> None:
+        """Record why an incarnation ended that another one follows."""
+        if self._has_departed(session):
+            return
+        if session.info.id in self._unconfirmed_departure_at_by_worker:
+            self._attempt_ends.record_departure(session)
+        else:
+            self._attempt_ends.record_crash(session)
+
     def _has_departed(self, session: WorkerSession) -> bool:
         record = self._state.worker_by_id.get(session.info.id)
         return record is not None and record.has_departed(
@@ -610,10 +654,8 @@
 
     def _open_session(self, info: WorkerInfo, now: float) -> None:
         previous_session = self._session_by_worker.get(info.id)
-        if previous_session is not None and not self._has_departed(
-            previous_session
-        ):
-            self._attempt_ends.record_crash(previous_session)
+        if previous_session is not None:
+            self._record_end(previous_session)
         self._fence_count += 1
         fence = self._term * MAX_FENCES_PER_TERM + self._fence_count
         session = WorkerSession(
@@ -621,6 +663,7 @@
         )
         self._session_by_worker[info.id] = session
         self._deregistered_at_by_worker.pop(info.id, None)
+        self._unconfirmed_departure_at_by_worker.pop(info.id, None)
         self._crashed_workers.discard(info.id)
         self._request_sender.start_polling(info, fence)
 
--- a/programs/cell/tests/leader_fixtures.py
+++ b/programs/cell/tests/leader_fixtures.py
@@ -114,12 +114,16 @@
         return self.handle(local.PollDone(worker, fence, reply, boottime_s()))
 
     def reply_to_poll_at(
-        self, name: str, now: float, incarnation: int = 1
+        self,
+        name: str,
+        now: float,
+        incarnation: int = 1,
+        running: tuple[RunningAttempt, ...] = (),
     ) -> None:
-        """Let a worker reply at a later time that it runs nothing."""
+        """Let a worker reply at a later time, mostly that it runs nothing."""
         worker = WorkerId(name)
         fence = self.sender.fence_by_worker[worker]
-        reply = PollReply(incarnation, 1000, (), ())
+        reply = PollReply(incarnation, 1000, running, ())
         self.service.handle_request(
             local.PollDone(worker, fence, reply, now), now
         )
--- a/programs/cell/tests/test_departures.py
+++ b/programs/cell/tests/test_departures.py
@@ -13,9 +13,11 @@
 
 from cassiahold.cell import requests
 from cassiahold.cell.clients import StartRequest
+from cassiahold.core.clock import boottime_s
 from cassiahold.core.ids import WorkerId
 from cassiahold.core.testing import function_tests
 from cassiahold.workflows.crashes import CrashEvidence
+from cassiahold.workflows.sessions import RunningAttempt
 
 W = WorkerId('w')
 
@@ -102,4 +104,45 @@
     assert len(leader.sender.starts) == 1
 
 
+def test_late_departure_without_an_incarnation_removes_no_worker() -> None:
+    # It was sent by the incarnation before and delayed by a cut.
+    leader = make_leader('w')
+    leader.send_heartbeat('w', sequence=2, is_draining=True)
+    return_as(leader, 2)
+    start = start_on_worker(leader)
+    leader.handle(requests.WorkerLeft(W, 0))
+    leader.apply_due_commands(boottime_s() + 1)
+    assert W in leader.service.state.worker_by_id
+    # The worker still replies, so it was not the one that left.
+    later = boottime_s() + 1
+    running = RunningAttempt(start.attempt, '', 5)
+    leader.reply_to_poll_at('w', later, 2, (running,))
+    return_as(leader, 3)
+    assert crash_score(leader, start) >= CrashEvidence.PRESENT
+
+
+def test_draining_worker_that_leaves_without_an_incarnation_is_removed() -> (
+    None
+):
+    leader = make_leader('w')
+    leader.send_heartbeat('w', sequence=2, is_draining=True)
+    leader.handle(requests.WorkerLeft(W, 0))
+    leader.apply_due_commands(boottime_s() + 1)
+    assert W not in leader.service.state.worker_by_id
+
+
+def test_departure_without_an_incarnation_is_no_crash() -> None:
+    for is_told_late in (False, True):
+        leader = make_leader('w')
+        start = start_on_worker(leader)
+        leader.handle(requests.WorkerLeft(W, 0))
+        leader.reply_to_poll(
+            'w', running=(RunningAttempt(start.attempt, '', 5),)
+        )
+        if is_told_late:
+            expire_lease(leader)
+        return_as(leader, 2)
+        assert not crash_score(leader, start)
+
+
 load_tests = function_tests(globals())
