Split the leader's sessions with workers by job

The open sessions and their fences are now in session_table.py, departures, crashes and removals in worker_ends.py, polls in worker_polls.py, starts and stops in attempt_starts.py; worker_sessions.py opens sessions and handles heartbeats and effects.

Behaviour is unchanged: methods were moved, and the removal of one worker became a method of its own.

--- a/programs/cell/src/cassiahold/cell/dispatch.py
+++ b/programs/cell/src/cassiahold/cell/dispatch.py
@@ -72,35 +72,35 @@
 def _(
     request: requests.WorkerLeft, service: 'CellService', now: float
 ) -> typing.Any:
-    return service.worker_sessions.deregister(request, now)
+    return service.worker_sessions.ends.deregister(request, now)
 
 
 @dispatch.register(local_requests.GetFirstPoll)
 def _(
     request: local_requests.GetFirstPoll, service: 'CellService', now: float
 ) -> typing.Any:
-    return service.worker_sessions.first_poll(request, now)
+    return service.worker_sessions.polls.first_poll(request, now)
 
 
 @dispatch.register(local_requests.PollDone)
 def _(
     request: local_requests.PollDone, service: 'CellService', now: float
 ) -> typing.Any:
-    return service.worker_sessions.poll_done(request, now)
+    return service.worker_sessions.polls.poll_done(request, now)
 
 
 @dispatch.register(local_requests.StartDone)
 def _(
     request: local_requests.StartDone, service: 'CellService', now: float
 ) -> typing.Any:
-    return service.worker_sessions.start_done(request, now)
+    return service.worker_sessions.starts.start_done(request, now)
 
 
 @dispatch.register(local_requests.StopDone)
 def _(
     request: local_requests.StopDone, service: 'CellService', now: float
 ) -> typing.Any:
-    return service.worker_sessions.stop_done(request, now)
+    return service.worker_sessions.starts.stop_done(request, now)
 
 
 @dispatch.register(local_requests.AdvisorQueryDone)
--- /dev/null
+++ b/programs/cell/src/cassiahold/cell/worker_ends.py
@@ -0,0 +1,190 @@
+"""Ends of workers' incarnations: departures, crashes and removals."""
+
+import time
+import typing
+
+from cassiahold.agreement.replica import Proposal
+from cassiahold.cell import local_requests as local
+from cassiahold.cell import requests
+from cassiahold.cell.attempt_ends import AttemptEnds
+from cassiahold.cell.session_table import SessionTable
+from cassiahold.core import logs
+from cassiahold.core.ids import WorkerId
+from cassiahold.workflows import commands
+from cassiahold.workflows.sessions import WorkerSession
+from cassiahold.workflows.state import WorkflowState
+
+# A deregistered worker process has certainly ended after this time.
+DEREGISTRATION_DELAY_S: typing.Final = 0.5
+
+
+class WorkerEnds:
+    """Tells why incarnations of workers end, and removes workers.
+
+    A worker is removed when it has left, when another process has its
+    address, or when all of its leases have expired.
+    """
+
+    def __init__(
+        self,
+        state: WorkflowState,
+        sessions: SessionTable,
+        attempt_ends: AttemptEnds,
+    ) -> None:
+        self._state = state
+        self._sessions = sessions
+        self._attempt_ends = attempt_ends
+        self._deregistered_at_by_worker: dict[WorkerId, float] = {}
+        # Departures that may be those of an earlier incarnation.
+        self._unconfirmed_departure_at_by_worker: dict[WorkerId, float] = {}
+        # Workers whose address another process has taken without notice.
+        self._crashed_workers: set[WorkerId] = set()
+
+    def is_deregistered(self, worker: WorkerId) -> bool:
+        """Tell whether a worker will be removed soon."""
+        return worker in self._deregistered_at_by_worker
+
+    def deregister(
+        self, request: requests.WorkerLeft, now: float
+    ) -> requests.Acknowledged | Proposal:
+        """Handle a worker's deregistration.
+
+        One without an incarnation may be late and mean an earlier one.  It
+        removes a worker only if that is known to be draining.
+        """
+        session = self._sessions.get(request.id)
+        if request.incarnation:
+            return self._handle_departure(
+                request.id, request.incarnation, session, now
+            )
+        if session is None:
+            return requests.Acknowledged()
+        if self._has_departed(session):
+            return self._handle_departure(
+                request.id, session.info.incarnation, session, now
+            )
+        self._unconfirmed_departure_at_by_worker[request.id] = now
+        logs.info('worker_may_have_left', worker=request.id)
+        return requests.Acknowledged()
+
+    def _handle_departure(
+        self,
+        worker: WorkerId,
+        incarnation: int,
+        session: WorkerSession | None,
+        now: float,
+    ) -> requests.Acknowledged | Proposal:
+        """Remove an incarnation soon and store that it has not crashed."""
+        if session is not None and session.info.incarnation == incarnation:
+            self._deregistered_at_by_worker.setdefault(worker, now)
+            logs.info('worker_left', worker=worker, born=incarnation)
+        if not self._is_departure_new(worker, incarnation):
+            return requests.Acknowledged()
+        return Proposal(
+            commands.encode_command(
+                commands.RecordDeparture(worker, incarnation)
+            ),
+            lambda _: requests.Acknowledged(),
+        )
+
+    def _is_departure_new(self, worker: WorkerId, incarnation: int) -> bool:
+        """Tell whether the state may have to change for a departure."""
+        if self._state.has_lost_attempts(worker):
+            return True
+        record = self._state.worker_by_id.get(worker)
+        return record is not None and not record.has_departed(incarnation)
+
+    def mark_replaced(self, worker: WorkerId, now: float) -> None:
+        """Remove a worker soon: another process has its address."""
+        session = self._sessions.get(worker)
+        if (
+            session is not None
+            and not self._has_departed(session)
+            and worker not in self._deregistered_at_by_worker
+            and worker not in self._unconfirmed_departure_at_by_worker
+        ):
+            self._crashed_workers.add(worker)
+        self._deregistered_at_by_worker.setdefault(
+            worker, now - DEREGISTRATION_DELAY_S
+        )
+
+    def forget_late_departure(self, request: local.PollDone) -> None:
+        """Forget a departure after which the worker still replies."""
+        left_at = self._unconfirmed_departure_at_by_worker.get(request.worker)
+        if (
+            left_at is not None
+            and request.sent_at >= left_at + DEREGISTRATION_DELAY_S
+        ):
+            self._unconfirmed_departure_at_by_worker.pop(request.worker)
+
+    def record_next_incarnation(self, session: WorkerSession) -> None:
+        """Record why the incarnation of a session ended: another follows."""
+        if self._has_departed(session):
+            return
+        if session.info.id in self._unconfirmed_departure_at_by_worker:
+            self._attempt_ends.record_departure(session)
+        else:
+            self._attempt_ends.record_crash(session)
+
+    def forget(self, worker: WorkerId) -> None:
+        """Forget what is known of the earlier incarnations of a worker."""
+        self._deregistered_at_by_worker.pop(worker, None)
+        self._unconfirmed_departure_at_by_worker.pop(worker, None)
+        self._crashed_workers.discard(worker)
+
+    def removal_commands(self, now: float) -> list[commands.Command]:
+        """Return the commands that remove deregistered and expired workers.
+
+        Such a worker runs nothing any more: its process has ended or all of
+        its leases have expired.  Its attempts end as lost with their last
+        checkpoint.
+        """
+        removals: list[commands.Command] = []
+        for session in list(self._sessions.session_by_worker.values()):
+            has_left = self._has_left(session.info.id, now)
+            if has_left or session.has_expired(now):
+                removals.extend(self._remove(session, now, has_left=has_left))
+        return removals
+
+    def _has_left(self, worker: WorkerId, now: float) -> bool:
+        deregistered_at = self._deregistered_at_by_worker.get(worker)
+        return (
+            deregistered_at is not None
+            and now >= deregistered_at + DEREGISTRATION_DELAY_S
+        )
+
+    def _remove(
+        self, session: WorkerSession, now: float, *, has_left: bool
+    ) -> list[commands.Command]:
+        worker = session.info.id
+        self._sessions.session_by_worker.pop(worker)
+        logs.info(
+            'worker_lost',
+            worker=worker,
+            born=session.info.incarnation,
+            has_left=has_left,
+            silent_s=now - (session.last_reply_at or now),
+        )
+        if worker in self._crashed_workers:
+            self._attempt_ends.record_crash(session)
+        is_explained = (
+            has_left
+            or self._has_departed(session)
+            or worker in self._unconfirmed_departure_at_by_worker
+        )
+        self.forget(worker)
+        results = self._attempt_ends.lost_with_worker(
+            session, is_explained=is_explained
+        )
+        return [
+            self._attempt_ends.end_command(results),
+            commands.RemoveWorker(
+                worker, session.info.incarnation, time.time()
+            ),
+        ]
+
+    def _has_departed(self, session: WorkerSession) -> bool:
+        record = self._state.worker_by_id.get(session.info.id)
+        return record is not None and record.has_departed(
+            session.info.incarnation
+        )
--- /dev/null
+++ b/programs/cell/src/cassiahold/cell/worker_polls.py
@@ -0,0 +1,185 @@
+"""The leader's polls of workers and the handling of their replies."""
+
+import time
+
+import msgspec
+
+from cassiahold.agreement.replica import Proposal
+from cassiahold.cell import local_requests as local
+from cassiahold.cell.attempt_ends import AttemptEnds
+from cassiahold.cell.attempt_stopper import AttemptStopper
+from cassiahold.cell.clients import PollRequest
+from cassiahold.cell.session_table import SessionTable
+from cassiahold.cell.settings import POLL_MAX_WAIT_S
+from cassiahold.cell.worker_ends import WorkerEnds
+from cassiahold.core import logs
+from cassiahold.core.clock import boottime_s
+from cassiahold.workflows import commands
+from cassiahold.workflows.health import HealthTracker
+from cassiahold.workflows.lost_attempts import LostAttempt
+from cassiahold.workflows.sessions import WorkerSession
+from cassiahold.workflows.state import WorkflowState
+
+
+class WorkerPolls:
+    """Handles the replies to polls and returns the next polls.
+
+    A reply tells which incarnation lives and which attempts run or have
+    ended.
+    """
+
+    def __init__(
+        self,
+        state: WorkflowState,
+        sessions: SessionTable,
+        health: HealthTracker,
+        stopper: AttemptStopper,
+        attempt_ends: AttemptEnds,
+        worker_ends: WorkerEnds,
+    ) -> None:
+        self._state = state
+        self._sessions = sessions
+        self._health = health
+        self._stopper = stopper
+        self._attempt_ends = attempt_ends
+        self._worker_ends = worker_ends
+
+    def first_poll(
+        self, request: local.GetFirstPoll, now: float
+    ) -> PollRequest | local.SessionClosed:
+        """Return the first poll of a session."""
+        session = self._sessions.find(request.worker, request.fence)
+        if session is None:
+            return local.SessionClosed()
+        return self._next_poll(session, now, max_wait_s=0.0)
+
+    def poll_done(
+        self, request: local.PollDone, now: float
+    ) -> PollRequest | local.SessionClosed | Proposal:
+        """Handle the outcome of a poll and return the next poll."""
+        session = self._sessions.find(request.worker, request.fence)
+        if session is None:
+            return local.SessionClosed()
+        if request.is_other_incarnation:
+            self._worker_ends.mark_replaced(request.worker, now)
+            return local.SessionClosed()
+        if request.reply is None:
+            session.record_poll_failed()
+            return self._next_poll(session, now, max_wait_s=0.0)
+        if request.reply.incarnation not in {0, session.info.incarnation}:
+            return self._update_incarnation(session, request.reply.incarnation)
+        self._worker_ends.forget_late_departure(request)
+        if request.reply.incarnation and self._state.has_lost_attempts(
+            request.worker
+        ):
+            return self._resolve_lost_worker(session)
+        return self._handle_poll_reply(session, request, now)
+
+    def _update_incarnation(
+        self, session: WorkerSession, incarnation: int
+    ) -> Proposal:
+        info = msgspec.structs.replace(session.info, incarnation=incarnation)
+        return Proposal(
+            commands.encode_command(
+                commands.RegisterWorker(
+                    info,
+                    commands.NO_HEARTBEAT_SEQUENCE,
+                    session.info.incarnation,
+                )
+            ),
+            lambda _: local.SessionClosed(),
+        )
+
+    def _resolve_lost_worker(self, session: WorkerSession) -> Proposal:
+        """Propose to count a crash that was not known when the lease ended."""
+        info = session.info
+        return Proposal(
+            commands.encode_command(
+                commands.ResolveLostWorker(
+                    info.id, info.incarnation, time.time()
+                )
+            ),
+            lambda crashed_attempts: self._handle_resolved_loss(
+                session, crashed_attempts
+            ),
+        )
+
+    def _handle_resolved_loss(
+        self, session: WorkerSession, crashed_attempts: list[LostAttempt]
+    ) -> PollRequest:
+        self._attempt_ends.record_late_crash(session, crashed_attempts)
+        return self._next_poll(session, boottime_s())
+
+    def _handle_poll_reply(
+        self, session: WorkerSession, request: local.PollDone, now: float
+    ) -> PollRequest | Proposal:
+        worker = self._state.worker_by_id[session.info.id]
+        reply = request.reply
+        if reply is None:
+            return self._next_poll(session, now, max_wait_s=0.0)
+        had_replied = session.has_replied
+        for running_attempt in reply.running:
+            self._attempt_ends.record_checkpoint(
+                running_attempt.attempt, running_attempt.checkpoint
+            )
+            self._health.record_progress(
+                session.info.id,
+                running_attempt.attempt,
+                running_attempt.percent,
+                now,
+            )
+        findings = session.reconcile(
+            reply, worker.resources_by_attempt, request.sent_at, now
+        )
+        if not had_replied:
+            logs.info(
+                'worker_fenced',
+                worker=session.info.id,
+                fence=session.fence,
+                running=len(reply.running),
+                expected=len(worker.resources_by_attempt),
+            )
+        for attempt in findings.unexpected_attempts:
+            self._stopper.stop(attempt, session.info.id, 'not_expected')
+        for attempt in findings.missing_attempts:
+            self._stopper.stop(attempt, session.info.id, 'unanswered')
+        expected_attempts = list(worker.resources_by_attempt)
+        self._stopper.stop_unwanted(session.info.id, expected_attempts)
+        self._stopper.stop_stalled(session.info.id, expected_attempts, now)
+        if not findings.results:
+            session.last_stored_end = findings.newest_end_number
+            return self._next_poll(session, now)
+        results = [
+            self._attempt_ends.complete(result) for result in findings.results
+        ]
+        return Proposal(
+            commands.encode_command(self._attempt_ends.end_command(results)),
+            lambda _: self._handle_stored_results(
+                session, results, findings.newest_end_number
+            ),
+        )
+
+    def _handle_stored_results(
+        self,
+        session: WorkerSession,
+        results: list[commands.AttemptResult],
+        newest_end_number: int,
+    ) -> PollRequest:
+        for result in results:
+            self._attempt_ends.record_stored(result)
+        session.last_stored_end = newest_end_number
+        return self._next_poll(session, boottime_s())
+
+    def _next_poll(
+        self,
+        session: WorkerSession,
+        now: float,
+        max_wait_s: float = POLL_MAX_WAIT_S,
+    ) -> PollRequest:
+        return PollRequest(
+            session.info,
+            session.fence,
+            session.end_to_acknowledge(now),
+            session.lease_until_ms(now),
+            max_wait_s if session.has_replied else 0.0,
+        )
--- a/programs/cell/tests/test_worker_sessions.py
+++ b/programs/cell/tests/test_worker_sessions.py
@@ -286,7 +286,9 @@
     sessions = leader.service.worker_sessions
     later = boottime_s() + 3
     reply = PollReply(1, 1000, waiting, ())
-    sessions.poll_done(local.PollDone(worker, first.fence, reply, later), later)
+    sessions.polls.poll_done(
+        local.PollDone(worker, first.fence, reply, later), later
+    )
     assert not leader.sender.stops
     assert worker in sessions.usable_workers(later)
 
