Blame no start for a crash that was never sent

What callers saw: nothing yet; found by reading the counting of late crashes. The task of a start that was stored, but not sent since its worker had begun to fail, was charged when that worker had crashed.

Cause: the removal of the worker comes before the end of the start that was not sent, and a start that the session does not know counts as one of an earlier leader. The session now marks it like a refused one.

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -193,6 +193,10 @@
         if start is not None:
             start.is_refused = True
 
+    def record_start_not_sent(self, attempt: AttemptKey) -> None:
+        """Record that a start that is stored will not be sent."""
+        self._start_by_attempt[attempt] = _StartState(is_refused=True)
+
     def record_stop_confirmed(self, attempt: AttemptKey, now: float) -> None:
         """Record that the worker confirmed a stop.
 
--- a/programs/cell/src/cassiahold/cell/attempt_starts.py
+++ b/programs/cell/src/cassiahold/cell/attempt_starts.py
@@ -69,10 +69,12 @@
             self._end_unsent_start(start, 'no_session')
             return
         if session.is_failing:
+            session.record_start_not_sent(start.attempt)
             self._end_unsent_start(start, 'failing')
             return
         until_ms = session.lease_until_ms(now)
         if until_ms is None:
+            session.record_start_not_sent(start.attempt)
             self._end_unsent_start(start, 'no_lease')
             return
         step = start.attempt.task.step
--- a/programs/cell/tests/test_late_crashes.py
+++ b/programs/cell/tests/test_late_crashes.py
@@ -4,6 +4,7 @@
 
 from leader_fixtures import (
     LEASE_S,
+    SPEC,
     crash_score,
     expire_lease,
     make_leader,
@@ -12,6 +13,7 @@
     submit,
 )
 
+from cassiahold.cell import local_requests as local
 from cassiahold.cell import requests
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.ids import WorkerId
@@ -165,4 +167,21 @@
     assert len(leader.sender.starts) == MAX_STARTS
 
 
+def test_start_that_was_never_sent_is_not_blamed_for_a_late_crash() -> None:
+    # The worker began to fail while its start was being stored in the log.
+    leader = make_leader('w')
+    leader.handle(requests.SubmitWork('h', '/q/1', 'key', SPEC))
+    payloads = leader.service.due_commands(boottime_s())
+    fence = leader.sender.fence_by_worker[WorkerId('w')]
+    leader.handle(local.PollDone(WorkerId('w'), fence, None, boottime_s()))
+    for payload in payloads:
+        leader.service.apply(payload)
+    assert not leader.sender.starts
+    expire_lease(leader)
+    return_as(leader, 2)
+    (record,) = leader.service.state.job_by_id.values()
+    (task,) = record.steps_by_occurrence[0][0].tasks
+    assert not task.crash_score
+
+
 load_tests = function_tests(globals())
