Bound the memory of lost attempts by their number

Found by reading: the memory was bounded by workers, and a worker that never tells its incarnation in replies to polls adds attempts each time it is lost, without an end. The oldest attempts are now dropped above 4096.

Evidence: test_worker_that_is_lost_again_and_again_does_not_fill_the_memory failed before, when run with the old bound under the new name. In test_memory_of_losses_is_bounded the name of the bound changed.

--- a/libs/workflows/src/cassiahold/workflows/lost_attempts.py
+++ b/libs/workflows/src/cassiahold/workflows/lost_attempts.py
@@ -16,7 +16,7 @@
 
 # A worker that returns later says little about what ran there.
 LOSS_MEMORY_S: typing.Final = 300.0
-MAX_LOST_WORKERS: typing.Final = 512
+MAX_LOST_ATTEMPTS: typing.Final = 4096
 _MS: typing.Final = 1000
 
 
@@ -48,10 +48,11 @@
 
 
 class LostAttempts:
-    """Lost attempts by worker, those that were lost first come first."""
+    """Lost attempts by worker; the oldest are dropped when there are many."""
 
     def __init__(self) -> None:
         self._lost_by_worker: dict[WorkerId, list[LostAttempt]] = {}
+        self._count = 0
 
     def __iter__(self) -> typing.Iterator[LostAttempt]:
         """Iterate over the attempts of all workers."""
@@ -63,20 +64,21 @@
         return worker in self._lost_by_worker
 
     def add(self, lost: LostAttempt) -> None:
-        """Add an attempt; drop those of the oldest worker when full."""
+        """Add an attempt; drop the oldest one when there are too many."""
         self._lost_by_worker.setdefault(lost.worker, []).append(lost)
-        if len(self._lost_by_worker) > MAX_LOST_WORKERS:
-            self._lost_by_worker.pop(next(iter(self._lost_by_worker)))
+        self._count += 1
+        if self._count > MAX_LOST_ATTEMPTS:
+            oldest, *remaining = self._take(next(iter(self._lost_by_worker)))
+            self._restore(oldest.worker, remaining)
 
     def forget_incarnation(self, worker: WorkerId, incarnation: int) -> None:
         """Drop the attempts of an incarnation whose end is explained."""
         remaining = [
             lost
-            for lost in self._lost_by_worker.pop(worker, ())
+            for lost in self._take(worker)
             if lost.incarnation != incarnation
         ]
-        if remaining:
-            self._lost_by_worker[worker] = remaining
+        self._restore(worker, remaining)
 
     def resolve(
         self, worker: WorkerId, incarnation: int, resolved_at: float
@@ -87,7 +89,19 @@
         """
         return [
             msgspec.structs.replace(lost, evidence=evidence)
-            for lost in self._lost_by_worker.pop(worker, ())
+            for lost in self._take(worker)
             if resolved_at < lost.ended_at + LOSS_MEMORY_S
             and (evidence := lost.weigh(incarnation)) is not CrashEvidence.NONE
         ]
+
+    def _take(self, worker: WorkerId) -> list[LostAttempt]:
+        taken = self._lost_by_worker.pop(worker, [])
+        self._count -= len(taken)
+        return taken
+
+    def _restore(
+        self, worker: WorkerId, lost_attempts: list[LostAttempt]
+    ) -> None:
+        if lost_attempts:
+            self._lost_by_worker[worker] = lost_attempts
+            self._count += len(lost_attempts)
--- a/libs/workflows/tests/test_lost_attempts.py
+++ b/libs/workflows/tests/test_lost_attempts.py
@@ -9,7 +9,7 @@
 from cassiahold.workflows.crashes import PROVEN_RUN_S, CrashEvidence
 from cassiahold.workflows.lost_attempts import (
     LOSS_MEMORY_S,
-    MAX_LOST_WORKERS,
+    MAX_LOST_ATTEMPTS,
     LostAttempt,
     LostAttempts,
 )
@@ -80,15 +80,27 @@
 def test_memory_of_losses_is_bounded() -> None:
     memory = LostAttempts()
     attempt = attempt_key('j', 0, 0)
-    for number in range(MAX_LOST_WORKERS + 1):
+    for number in range(MAX_LOST_ATTEMPTS + 1):
         worker = WorkerId(f'w{number}')
         memory.add(LostAttempt(attempt, worker, 1, CrashEvidence.PRESENT, 5.0))
-    assert len(list(memory)) == MAX_LOST_WORKERS
+    assert len(list(memory)) == MAX_LOST_ATTEMPTS
     assert WorkerId('w0') not in memory
     assert not memory.resolve(WorkerId('w1'), 2, 5.0 + LOSS_MEMORY_S)
     assert memory.resolve(WorkerId('w2'), 2, 5.0)
 
 
+def test_worker_that_is_lost_again_and_again_does_not_fill_the_memory() -> None:
+    # Its replies to polls never tell its incarnation.
+    memory = LostAttempts()
+    for number in range(2 * MAX_LOST_ATTEMPTS):
+        attempt = attempt_key('j', 0, 0, number)
+        memory.add(LostAttempt(attempt, W, 1, CrashEvidence.PRESENT, 5.0))
+        assert W in memory
+    assert len(list(memory)) == MAX_LOST_ATTEMPTS
+    assert len(memory.resolve(W, 2, 5.0)) == MAX_LOST_ATTEMPTS
+    assert not list(memory)
+
+
 def test_late_crash_of_finished_work_is_harmless() -> None:
     cell = StateFixture('w', 'x')
     cell.submit('j', step_spec(2))
