Let replicas of the release before read departures and returns

Change: departures and returns of workers are fields of the command that ends attempts, which an earlier replica reads and for which it does nothing.

Evidence: test_replicas_of_the_release_before_read_every_command failed before (tags left and returned). No group of mixed versions was run.

--- a/libs/workflows/src/cassiahold/workflows/command_dispatch.py
+++ b/libs/workflows/src/cassiahold/workflows/command_dispatch.py
@@ -49,8 +49,10 @@
 
 
 @apply_command.register(commands.EndAttempts)
-def _(command: commands.EndAttempts, state: 'WorkflowState') -> None:
-    state.end_attempts(command)
+def _(
+    command: commands.EndAttempts, state: 'WorkflowState'
+) -> 'list[LostAttempt]':
+    return state.end_attempts(command)
 
 
 @apply_command.register(commands.RegisterWorker)
@@ -63,18 +65,6 @@
     state.remove_worker(command)
 
 
-@apply_command.register(commands.RecordDeparture)
-def _(command: commands.RecordDeparture, state: 'WorkflowState') -> None:
-    state.record_departure(command)
-
-
-@apply_command.register(commands.ResolveLostWorker)
-def _(
-    command: commands.ResolveLostWorker, state: 'WorkflowState'
-) -> 'list[LostAttempt]':
-    return state.resolve_lost_worker(command)
-
-
 @apply_command.register(commands.PutConfiguration)
 def _(command: commands.PutConfiguration, state: 'WorkflowState') -> bool:
     return state.put_configuration(command)
--- a/libs/workflows/src/cassiahold/workflows/commands.py
+++ b/libs/workflows/src/cassiahold/workflows/commands.py
@@ -15,6 +15,7 @@
 from cassiahold.workflows.model import (
     AttemptKey,
     AttemptOutcome,
+    IncarnationKey,
     JobState,
     StepKey,
     WorkerInfo,
@@ -78,10 +79,22 @@
 
 
 class EndAttempts(msgspec.Struct, frozen=True, tag='end'):
-    """Records the ends of attempts and releases their resources."""
+    """Records the ends of attempts and releases their resources.
+
+    It also explains why incarnations of workers ended: those in ``departed``
+    have left, and those in ``replying`` replied to a poll, so that another
+    incarnation of the worker with which attempts were lost has crashed.  Both
+    are part of this command since earlier versions can read it.
+    """
 
     results: list[AttemptResult] = msgspec.field(name='ends')
     ended_at: float = msgspec.field(name='at')
+    departed: tuple[IncarnationKey, ...] = msgspec.field(
+        name='left', default=()
+    )
+    replying: tuple[IncarnationKey, ...] = msgspec.field(
+        name='alive', default=()
+    )
 
 
 class RegisterWorker(msgspec.Struct, frozen=True, tag='worker'):
@@ -109,24 +122,6 @@
     removed_at: float = msgspec.field(name='at')
 
 
-class RecordDeparture(msgspec.Struct, frozen=True, tag='left'):
-    """Records that an incarnation of a worker has left, so did not crash."""
-
-    id: WorkerId
-    incarnation: int = msgspec.field(name='born')
-
-
-class ResolveLostWorker(msgspec.Struct, frozen=True, tag='returned'):
-    """Records that a worker replies whose attempts ended as lost before.
-
-    ``incarnation`` is the one that replies; another one has crashed.
-    """
-
-    id: WorkerId
-    incarnation: int = msgspec.field(name='born')
-    resolved_at: float = msgspec.field(name='at')
-
-
 class PutConfiguration(msgspec.Struct, frozen=True, tag='configure'):
     """Adopts a configuration when its version is higher.
 
@@ -152,8 +147,6 @@
     | EndAttempts
     | RegisterWorker
     | RemoveWorker
-    | RecordDeparture
-    | ResolveLostWorker
     | PutConfiguration
     | PruneJobs
 )
--- a/libs/workflows/src/cassiahold/workflows/lost_attempts.py
+++ b/libs/workflows/src/cassiahold/workflows/lost_attempts.py
@@ -12,7 +12,7 @@
 
 from cassiahold.core.ids import WorkerId
 from cassiahold.workflows.crashes import CrashEvidence
-from cassiahold.workflows.model import AttemptKey
+from cassiahold.workflows.model import AttemptKey, IncarnationKey
 
 # A worker that returns later says little about what ran there.
 LOSS_MEMORY_S: typing.Final = 300.0
@@ -71,27 +71,28 @@
             oldest, *remaining = self._take(next(iter(self._lost_by_worker)))
             self._restore(oldest.worker, remaining)
 
-    def forget_incarnation(self, worker: WorkerId, incarnation: int) -> None:
+    def forget_incarnation(self, key: IncarnationKey) -> None:
         """Drop the attempts of an incarnation whose end is explained."""
         remaining = [
             lost
-            for lost in self._take(worker)
-            if lost.incarnation != incarnation
+            for lost in self._take(key.worker)
+            if lost.incarnation != key.incarnation
         ]
-        self._restore(worker, remaining)
+        self._restore(key.worker, remaining)
 
     def resolve(
-        self, worker: WorkerId, incarnation: int, resolved_at: float
+        self, key: IncarnationKey, resolved_at: float
     ) -> list[LostAttempt]:
-        """Remove the attempts of a worker that replies again.
+        """Remove the attempts of a worker of which an incarnation replies.
 
         Returns those that count against their tasks, with their evidence.
         """
         return [
             msgspec.structs.replace(lost, evidence=evidence)
-            for lost in self._take(worker)
+            for lost in self._take(key.worker)
             if resolved_at < lost.ended_at + LOSS_MEMORY_S
-            and (evidence := lost.weigh(incarnation)) is not CrashEvidence.NONE
+            and (evidence := lost.weigh(key.incarnation))
+            is not CrashEvidence.NONE
         ]
 
     def _take(self, worker: WorkerId) -> list[LostAttempt]:
--- a/libs/workflows/src/cassiahold/workflows/model.py
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -70,6 +70,13 @@
     attempt_number: int
 
 
+class IncarnationKey(typing.NamedTuple):
+    """Identifies an incarnation of a worker."""
+
+    worker: WorkerId
+    incarnation: int
+
+
 class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """Specification of one step, as submitted by the caller.
 
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -34,6 +34,7 @@
     AttemptKey,
     AttemptOutcome,
     AttemptRecord,
+    IncarnationKey,
     JobRecord,
     JobState,
     StepKey,
@@ -247,13 +248,24 @@
                     self._start_attempt(start, command.term)
         return started_count
 
-    def end_attempts(self, command: commands.EndAttempts) -> None:
+    def end_attempts(self, command: commands.EndAttempts) -> list[LostAttempt]:
         """Record the ends of attempts and release their resources.
 
         Results of attempts that have no allocation any more are ignored.
+        Returns the attempts that were lost before and count as crashed now.
         """
         for result in command.results:
             self._end_attempt(result, command.ended_at)
+        for key in command.departed:
+            self._record_departure(key)
+        crashed_attempts: list[LostAttempt] = []
+        for key in command.replying:
+            crashed_attempts.extend(
+                self._data.lost_attempts.resolve(key, command.ended_at)
+            )
+        for lost in crashed_attempts:
+            self._count_late_crash(lost, command.ended_at)
+        return crashed_attempts
 
     def register_worker(self, command: commands.RegisterWorker) -> bool:
         """Add or update a worker; return False for an older description.
@@ -279,7 +291,7 @@
             record.sequence = max(command.sequence, 0)
         if info.is_draining:
             self._data.lost_attempts.forget_incarnation(
-                info.id, info.incarnation
+                IncarnationKey(info.id, info.incarnation)
             )
         self._effects.append(commands.WorkerChanged(info.id))
         return True
@@ -298,31 +310,6 @@
         self._data.worker_by_id.pop(command.id)
         self._effects.append(commands.WorkerChanged(command.id))
 
-    def record_departure(self, command: commands.RecordDeparture) -> None:
-        """Record that an incarnation of a worker has left."""
-        self._data.lost_attempts.forget_incarnation(
-            command.id, command.incarnation
-        )
-        record = self._data.worker_by_id.get(command.id)
-        if record is not None and not record.has_departed(
-            record.info.incarnation
-        ):
-            record.departed_incarnation = command.incarnation
-
-    def resolve_lost_worker(
-        self, command: commands.ResolveLostWorker
-    ) -> list[LostAttempt]:
-        """Count the crash of a lost worker that replies again.
-
-        Returns the attempts that count, none if the worker was only cut off.
-        """
-        crashed_attempts = self._data.lost_attempts.resolve(
-            command.id, command.incarnation, command.resolved_at
-        )
-        for lost in crashed_attempts:
-            self._count_late_crash(lost, command.resolved_at)
-        return crashed_attempts
-
     def put_configuration(self, command: commands.PutConfiguration) -> bool:
         """Adopt a configuration; return False unless its version is higher.
 
@@ -448,6 +435,14 @@
         self._apply_result(record, result, ended_at)
         self._update_waiting_step(record, key)
 
+    def _record_departure(self, key: IncarnationKey) -> None:
+        self._data.lost_attempts.forget_incarnation(key)
+        record = self._data.worker_by_id.get(key.worker)
+        if record is not None and not record.has_departed(
+            record.info.incarnation
+        ):
+            record.departed_incarnation = key.incarnation
+
     def _count_late_crash(self, lost: LostAttempt, counted_at: float) -> None:
         """Count a crash against a task that may be running elsewhere."""
         key = lost.attempt.task
--- a/libs/workflows/tests/test_lost_attempts.py
+++ b/libs/workflows/tests/test_lost_attempts.py
@@ -13,7 +13,12 @@
     LostAttempt,
     LostAttempts,
 )
-from cassiahold.workflows.model import AttemptKey, AttemptOutcome, JobState
+from cassiahold.workflows.model import (
+    AttemptKey,
+    AttemptOutcome,
+    IncarnationKey,
+    JobState,
+)
 from cassiahold.workflows.state import WorkflowState
 
 W = WorkerId('w')
@@ -37,7 +42,8 @@
 def resolve(
     cell: StateFixture, incarnation: int = 2, resolved_at: float = 12.0
 ) -> list[LostAttempt]:
-    return cell.apply(commands.ResolveLostWorker(W, incarnation, resolved_at))
+    key = IncarnationKey(W, incarnation)
+    return cell.apply(commands.EndAttempts([], resolved_at, replying=(key,)))
 
 
 def crash_score(cell: StateFixture) -> int:
@@ -85,8 +91,10 @@
         memory.add(LostAttempt(attempt, worker, 1, CrashEvidence.PRESENT, 5.0))
     assert len(list(memory)) == MAX_LOST_ATTEMPTS
     assert WorkerId('w0') not in memory
-    assert not memory.resolve(WorkerId('w1'), 2, 5.0 + LOSS_MEMORY_S)
-    assert memory.resolve(WorkerId('w2'), 2, 5.0)
+    assert not memory.resolve(
+        IncarnationKey(WorkerId('w1'), 2), 5.0 + LOSS_MEMORY_S
+    )
+    assert memory.resolve(IncarnationKey(WorkerId('w2'), 2), 5.0)
 
 
 def test_worker_that_is_lost_again_and_again_does_not_fill_the_memory() -> None:
@@ -97,7 +105,7 @@
         memory.add(LostAttempt(attempt, W, 1, CrashEvidence.PRESENT, 5.0))
         assert W in memory
     assert len(list(memory)) == MAX_LOST_ATTEMPTS
-    assert len(memory.resolve(W, 2, 5.0)) == MAX_LOST_ATTEMPTS
+    assert len(memory.resolve(IncarnationKey(W, 2), 5.0)) == MAX_LOST_ATTEMPTS
     assert not list(memory)
 
 
--- a/programs/cell/src/cassiahold/cell/worker_ends.py
+++ b/programs/cell/src/cassiahold/cell/worker_ends.py
@@ -11,6 +11,7 @@
 from cassiahold.core import logs
 from cassiahold.core.ids import WorkerId
 from cassiahold.workflows import commands
+from cassiahold.workflows.model import IncarnationKey
 from cassiahold.workflows.sessions import WorkerSession
 from cassiahold.workflows.state import WorkflowState
 
@@ -82,7 +83,11 @@
             return requests.Acknowledged()
         return Proposal(
             commands.encode_command(
-                commands.RecordDeparture(worker, incarnation)
+                commands.EndAttempts(
+                    [],
+                    time.time(),
+                    departed=(IncarnationKey(worker, incarnation),),
+                )
             ),
             lambda _: requests.Acknowledged(),
         )
--- a/programs/cell/src/cassiahold/cell/worker_polls.py
+++ b/programs/cell/src/cassiahold/cell/worker_polls.py
@@ -17,6 +17,7 @@
 from cassiahold.workflows import commands
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.lost_attempts import LostAttempt
+from cassiahold.workflows.model import IncarnationKey
 from cassiahold.workflows.sessions import WorkerSession
 from cassiahold.workflows.state import WorkflowState
 
@@ -92,12 +93,10 @@
 
     def _resolve_lost_worker(self, session: WorkerSession) -> Proposal:
         """Propose to count a crash that was not known when the lease ended."""
-        info = session.info
+        key = IncarnationKey(session.info.id, session.info.incarnation)
         return Proposal(
             commands.encode_command(
-                commands.ResolveLostWorker(
-                    info.id, info.incarnation, time.time()
-                )
+                commands.EndAttempts([], time.time(), replying=(key,))
             ),
             lambda crashed_attempts: self._handle_resolved_loss(
                 session, crashed_attempts
--- a/programs/cell/tests/test_departures.py
+++ b/programs/cell/tests/test_departures.py
@@ -1,5 +1,8 @@
 """Tests of workers that drain and leave, across leaders, without I/O."""
 
+import typing
+
+import msgspec
 from leader_fixtures import (
     LeaderFixture,
     confirm,
@@ -20,6 +23,18 @@
 from cassiahold.workflows.sessions import RunningAttempt
 
 W = WorkerId('w')
+TAGS_OF_RELEASE_0_5 = frozenset(
+    (
+        'accept',
+        'cancel',
+        'start',
+        'end',
+        'worker',
+        'forget',
+        'configure',
+        'prune',
+    )
+)
 
 
 def start_on_worker(leader: LeaderFixture) -> StartRequest:
@@ -145,4 +160,23 @@
         assert not crash_score(leader, start)
 
 
+def test_replicas_of_the_release_before_read_every_command() -> None:
+    # During a rolling restart an unknown command would end their process.
+    leader = make_leader('w')
+    tags = []
+    apply = leader.service.apply
+
+    def record_and_apply(payload: bytes) -> typing.Any:
+        tags.append(msgspec.msgpack.decode(payload)['type'])
+        return apply(payload)
+
+    leader.service.apply = record_and_apply
+    start_on_lost_worker(leader)
+    return_as(leader, 2)
+    leader.handle(requests.WorkerLeft(W, 2))
+    return_as(leader, 1)
+    leader.reply_to_poll('w', incarnation=1)
+    assert set(tags) <= TAGS_OF_RELEASE_0_5
+
+
 load_tests = function_tests(globals())
