Count a crash before a late restart like a recent start

What callers would have seen: a task that crashes its workers was started a sixth time when each worker restarted only after its leases and was back after the next start had gone out.

Cause: such a restart counted as 2 at most, so that five crashes had to be told, and the last one is told one start late. It counts as 3 at most now: the other explanation, a worker that was cut off until its leases had expired and crashed before it was heard again, needs two faults.

Evidence: test_task_is_given_up_in_time_when_crashes_are_told_a_start_late failed before for late restarts (six starts, now five; four if the workers restart before their leases expire). It replaces test_task_whose_crashes_are_all_told_late_is_given_up, which let every worker return before the next start and the task start before the last reply of its worker, so that it did not see this. The test of one late restart now expects 3.

--- a/libs/workflows/src/cassiahold/workflows/lost_attempts.py
+++ b/libs/workflows/src/cassiahold/workflows/lost_attempts.py
@@ -37,14 +37,15 @@
         """Return the evidence once another incarnation is known to live.
 
         An incarnation that started before the leases had expired proves that
-        the earlier one ended while the attempt may have been running.  After
-        a later start, the leases may have ended the attempt before.
+        the earlier one ended while the attempt may have been running.  Before
+        a later start, the leases may have ended the attempt first; that is
+        rarer than a slow restart, so it counts little less.
         """
         if incarnation == self.incarnation:
             return CrashEvidence.NONE
         if incarnation <= self.ended_at * _MS:
             return self.evidence
-        return min(self.evidence, CrashEvidence.PRESENT)
+        return min(self.evidence, CrashEvidence.RECENT)
 
 
 class LostAttempts:
