--- a/libs/workflows/src/cassiahold/workflows/commands.py
+++ b/libs/workflows/src/cassiahold/workflows/commands.py
@@ -15,6 +15,7 @@
 from cassiahold.workflows.model import (
     AttemptKey,
     AttemptOutcome,
+    IncarnationKey,
     JobState,
     StepKey,
     WorkerInfo,
@@ -64,7 +65,8 @@
     """How an attempt ended on one incarnation of a worker.
 
     ``duration_s`` is 0 when the start or the end was not observed.  ``crash``
-    is set when the worker crashed while the attempt may have been running.
+    is set when the worker crashed while the attempt may have been running,
+    ``possible_crash`` when the worker was lost and may have crashed.
     """
 
     attempt: AttemptKey
@@ -73,13 +75,26 @@
     checkpoint: str = ''
     duration_s: float = 0.0
     crash: CrashEvidence = CrashEvidence.NONE
+    possible_crash: CrashEvidence = CrashEvidence.NONE
 
 
 class EndAttempts(msgspec.Struct, frozen=True, tag='end'):
-    """Records the ends of attempts and releases their resources."""
+    """Records the ends of attempts and releases their resources.
+
+    It also explains why incarnations of workers ended: those in ``departed``
+    have left, and those in ``replying`` replied to a poll, so that another
+    incarnation of the worker with which attempts were lost has crashed.  Both
+    are part of this command since earlier versions can read it.
+    """
 
     results: list[AttemptResult] = msgspec.field(name='ends')
     ended_at: float = msgspec.field(name='at')
+    departed: tuple[IncarnationKey, ...] = msgspec.field(
+        name='left', default=()
+    )
+    replying: tuple[IncarnationKey, ...] = msgspec.field(
+        name='alive', default=()
+    )
 
 
 class RegisterWorker(msgspec.Struct, frozen=True, tag='worker'):
@@ -87,10 +102,16 @@
 
     ``sequence`` is that of the heartbeat with the description.  It is None
     in commands and snapshots of versions that did not store it.
+
+    ``replaced_incarnation`` is the one that a poll was sent to, when another
+    one replied: that one is newer, whatever their start times say.
     """
 
     info: WorkerInfo
     sequence: int | None = msgspec.field(name='seq', default=None)
+    replaced_incarnation: int | None = msgspec.field(
+        name='replaces', default=None
+    )
 
 
 class RemoveWorker(msgspec.Struct, frozen=True, tag='forget'):
