Share the weighing of crashes between both halves

Cause: the evidence of crashes, its scores and limits lived in the half for jobs of steps, although the scheduler of each data centre needs the same. Change: they are in cassiahold.core.crashes, the one library that both halves depend on; cassiahold.workflows.crashes keeps every name and its weigh_crash.

--- a/libs/workflows/src/cassiahold/workflows/crashes.py
+++ b/libs/workflows/src/cassiahold/workflows/crashes.py
@@ -1,40 +1,31 @@
-"""Evidence that a task crashes the workers on which it starts.
+"""Evidence that a task of a step crashes the workers on which it starts.
 
-A worker runs many tasks, and a crash does not tell which of them caused it.
-Each crash therefore adds to the crash score of every task that ran on the
-worker, most for those that had just started.  A task whose score reaches
-``MAX_CRASH_SCORE`` is given up with its job.
+The evidence and its limits are those of ``cassiahold.core.crashes``.
 """
 
-import enum
 import math
 import typing
 
+from cassiahold.core.crashes import (
+    MAX_CRASH_SCORE,
+    PROVEN_RUN_S,
+    RECENT_START_S,
+    SUSPECT_CRASH_SCORE,
+    CrashEvidence,
+    is_suspect,
+    weigh_attempts,
+)
 from cassiahold.workflows.model import AttemptKey
 
-# A task that crashes its worker mostly does so soon after its start.
-RECENT_START_S: typing.Final = 0.5
-# No task starts a sixth time after five crashes, whatever the evidence.
-MAX_CRASH_SCORE: typing.Final = 10
-# From this score on a task starts apart from other recent starts.
-SUSPECT_CRASH_SCORE: typing.Final = 3
-# A long-running task that has run this long did not crash its worker.
-PROVEN_RUN_S: typing.Final = 30.0
-
-
-class CrashEvidence(enum.IntEnum):
-    """What the crash of a worker tells about one of its attempts.
-
-    The values are added up in the crash score of the task.  ``PRESENT`` means
-    that the attempt was running or may have been, ``RECENT`` that it may have
-    started shortly before the crash, ``ONLY_RECENT`` that moreover no attempt
-    of another job on that worker may have.
-    """
-
-    NONE = 0
-    PRESENT = 2
-    RECENT = 3
-    ONLY_RECENT = 4
+__all__ = (
+    'MAX_CRASH_SCORE',
+    'PROVEN_RUN_S',
+    'RECENT_START_S',
+    'SUSPECT_CRASH_SCORE',
+    'CrashEvidence',
+    'is_suspect',
+    'weigh_crash',
+)
 
 
 def weigh_crash(
@@ -50,24 +41,10 @@
     connections were silent.
     """
     recent_since = alive_at - RECENT_START_S
-    evidence_by_attempt = dict.fromkeys(attempts, CrashEvidence.PRESENT)
+    job_by_attempt = {attempt: attempt.task.step.job for attempt in attempts}
     recent_attempts = [
         attempt
-        for attempt in evidence_by_attempt
+        for attempt in job_by_attempt
         if sent_at_by_attempt.get(attempt, -math.inf) > recent_since
     ]
-    job_count = len({attempt.task.step.job for attempt in recent_attempts})
-    evidence_by_attempt.update(
-        dict.fromkeys(
-            recent_attempts,
-            CrashEvidence.ONLY_RECENT
-            if job_count == 1
-            else CrashEvidence.RECENT,
-        )
-    )
-    return evidence_by_attempt
-
-
-def is_suspect(crash_score: int) -> bool:
-    """Tell whether a task may well be the cause of a worker's crash."""
-    return crash_score >= SUSPECT_CRASH_SCORE
+    return weigh_attempts(job_by_attempt, recent_attempts)
