Count crashes of workers against the tasks of their jobs

Cause: the scheduler of a data centre treated the end of a worker as its fault alone, so a task that crashes each worker was started on one after the other. Change: a worker that registers in a new incarnation, not drained, has crashed under its attempts; the leader weighs the evidence and the replicated state counts it a task each (TaskRecord.crash_score). Attempts lost with a lapsed lease are charged once, when the worker itself returns in a new incarnation. At the limit the job is given up: waiting tasks end, running ones are stopped, its status has the reason 'crashes', why and the log name the crashes.

--- a/libs/cellstate/src/cassiahold/cellstate/effects.py
+++ b/libs/cellstate/src/cassiahold/cellstate/effects.py
@@ -54,6 +54,24 @@
     worker: WorkerId
 
 
+class WorkerCrashed(msgspec.Struct, frozen=True):
+    """A worker has crashed under some attempts.
+
+    ``recent_count`` is how many of them may have started shortly before.
+    """
+
+    worker: WorkerId
+    incarnation: int
+    attempt_count: int
+    recent_count: int
+
+
+class JobGivenUp(msgspec.Struct, frozen=True):
+    """A job has failed because a task crashed too many workers."""
+
+    job: JobId
+
+
 class ConfigurationChanged(msgspec.Struct, frozen=True):
     """Shares, limits, quotas or placement policies have changed."""
 
@@ -65,5 +83,7 @@
     | AttemptRejected
     | AttemptEnded
     | WorkerChanged
+    | WorkerCrashed
+    | JobGivenUp
     | ConfigurationChanged
 )
--- a/libs/cellstate/src/cassiahold/cellstate/jobs.py
+++ b/libs/cellstate/src/cassiahold/cellstate/jobs.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cassiahold.cellstate.worker_crashes import CrashRecord, LostAttempt
 from cassiahold.core.ids import (
     AttemptId,
     JobId,
@@ -12,7 +13,12 @@
     WorkerId,
 )
 from cassiahold.core.resources import NO_RESOURCES, Resources
-from cassiahold.core.states import JobKind, JobOutcome, TaskState
+from cassiahold.core.states import (
+    FailureReason,
+    JobKind,
+    JobOutcome,
+    TaskState,
+)
 
 MAX_TASKS_PER_JOB: typing.Final = 10_000
 MAX_RESOURCE_AMOUNT: typing.Final = 1e6  # cores or gigabytes of one task
@@ -66,7 +72,10 @@
 
 
 class TaskRecord(msgspec.Struct, array_like=True, gc=False):
-    """The state of one task and its current or last attempt."""
+    """The state of one task and its current or last attempt.
+
+    ``crash_score`` adds up the evidence that the task crashes its workers.
+    """
 
     state: TaskState = TaskState.WAITING
     attempt: int = 0
@@ -75,6 +84,7 @@
     # Whether any earlier attempt may have taken effect.
     may_have_run: bool = False
     note: str = ''
+    crash_score: int = 0
 
 
 class JobRecord(msgspec.Struct, array_like=True):
@@ -93,6 +103,10 @@
     is_restarting: bool = False
     open_task_count: int = 0
     finished_at: float = 0
+    # Set with the first task that failed, or when the job is given up.
+    failure_reason: FailureReason | None = None
+    # The newest crashes of workers under attempts of the job.
+    crashes: list[CrashRecord] = msgspec.field(default_factory=list)
 
     @property
     def deadline_at(self) -> float | None:
@@ -106,10 +120,20 @@
         """Tell whether all tasks have reached a final state."""
         return self.open_task_count == 0
 
+    @property
+    def is_given_up(self) -> bool:
+        """Tell whether a task of the job crashed too many workers."""
+        return self.failure_reason is FailureReason.CRASHES
+
+    @property
+    def is_stopping(self) -> bool:
+        """Tell whether no task may start and the running ones must stop."""
+        return self.is_cancelled or self.is_given_up
+
     @property
     def may_rerun(self) -> bool:
         """Tell whether a task may be placed again after it ran."""
-        return self.spec.idempotent and not self.is_cancelled
+        return self.spec.idempotent and not self.is_stopping
 
     @property
     def outcome(self) -> JobOutcome:
@@ -122,6 +146,13 @@
                 return outcome
         return JobOutcome.DONE
 
+    @property
+    def reported_reason(self) -> FailureReason | None:
+        """Return why the job failed, None for any other outcome."""
+        return (
+            self.failure_reason if self.outcome is JobOutcome.FAILED else None
+        )
+
 
 class Allocation(msgspec.Struct, frozen=True, array_like=True):
     """The resources of a worker that one attempt occupies."""
@@ -149,6 +180,8 @@
     allocation_by_attempt: dict[AttemptId, Allocation] = msgspec.field(
         default_factory=dict
     )
+    # Of this incarnation; charged if it turns out to have crashed.
+    unexplained_losses: list[LostAttempt] = msgspec.field(default_factory=list)
 
 
 def attempt_id(job: JobId, index: int, attempt: int) -> AttemptId:
--- a/libs/cellstate/src/cassiahold/cellstate/scheduler_commands.py
+++ b/libs/cellstate/src/cassiahold/cellstate/scheduler_commands.py
@@ -8,8 +8,16 @@
 
 from cassiahold.cellstate.jobs import JobSpec
 from cassiahold.cellstate.quotas import QuotaOffer
+from cassiahold.cellstate.worker_crashes import AttemptEvidence
 from cassiahold.config.document import Configuration
-from cassiahold.core.ids import GatewayId, JobId, RequestId, TeamName, WorkerId
+from cassiahold.core.ids import (
+    AttemptId,
+    GatewayId,
+    JobId,
+    RequestId,
+    TeamName,
+    WorkerId,
+)
 from cassiahold.core.resources import Resources
 from cassiahold.core.states import AttemptOutcome
 
@@ -93,6 +101,8 @@
     rack: str
     speed: float
     registered_at: float
+    # Against the attempts of the earlier incarnation, if this is a new one.
+    evidence_by_attempt: dict[AttemptId, AttemptEvidence] | None = None
 
 
 class MarkWorkersLost(msgspec.Struct, frozen=True, array_like=True, tag='lose'):
@@ -103,6 +113,8 @@
     # For workers that have left for good: also removes their records, which
     # have no allocations any more.
     should_deregister: bool = False
+    # Against their attempts, in case the workers turn out to have crashed.
+    evidence_by_attempt: dict[AttemptId, AttemptEvidence] | None = None
 
 
 class DrainWorker(msgspec.Struct, frozen=True, array_like=True, tag='drain'):
--- a/libs/cellstate/src/cassiahold/cellstate/scheduler_state.py
+++ b/libs/cellstate/src/cassiahold/cellstate/scheduler_state.py
@@ -10,6 +10,11 @@
 
 from cassiahold.cellstate import effects
 from cassiahold.cellstate import scheduler_commands as commands
+from cassiahold.cellstate.crash_counting import (
+    allocated_attempts,
+    count_crash,
+    must_give_up,
+)
 from cassiahold.cellstate.jobs import (
     Allocation,
     JobRecord,
@@ -23,8 +28,11 @@
 from cassiahold.cellstate.task_transitions import (
     state_after_end,
     state_after_loss,
+    state_of_abandoned,
 )
+from cassiahold.cellstate.worker_crashes import LostAttempt
 from cassiahold.config.document import Configuration
+from cassiahold.core.crashes import CrashEvidence
 from cassiahold.core.exceptions import ErrorKind, InvariantError
 from cassiahold.core.ids import (
     DataCentre,
@@ -34,7 +42,7 @@
     TeamName,
     WorkerId,
 )
-from cassiahold.core.states import TaskState
+from cassiahold.core.states import FailureReason, TaskState
 
 
 class GatewayRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -166,7 +174,7 @@
         if existing_id is not None:
             return _outcome_of_retry(stored.job_by_id[existing_id], command)
         spec = command.spec
-        refusal = self._refusal_by_queue(spec.queue)
+        refusal = _refusal_by_queue(stored, spec.queue)
         if refusal is not None:
             return refusal
         job_id = JobId(f'{self._centre}.{stored.next_job_number}')
@@ -256,13 +264,16 @@
                 )
 
     def register_worker(self, command: commands.RegisterWorker) -> None:
-        """Add or update a worker; a new incarnation has lost its tasks."""
+        """Add or update a worker; a new incarnation has lost its tasks.
+
+        Returning in the same incarnation shows that it has not crashed.
+        """
         existing = self._stored.worker_by_id.get(command.id)
         if existing is not None and command.incarnation < existing.incarnation:
             # A late report must not restore an incarnation that has ended.
             return
         if existing is not None and command.incarnation > existing.incarnation:
-            self._lose_attempts(existing, command.registered_at)
+            self._end_incarnation(existing, command)
         updated = WorkerRecord(
             command.id,
             command.incarnation,
@@ -287,6 +298,9 @@
             worker = self._stored.worker_by_id.get(worker_id)
             if worker is None:
                 continue
+            worker.unexplained_losses += allocated_attempts(
+                worker, self._stored.job_by_id, command.evidence_by_attempt
+            )
             self._lose_attempts(worker, command.lost_at)
             worker.is_lost = True
             if command.should_deregister:
@@ -340,25 +354,6 @@
 
     # Helpers.
 
-    def _refusal_by_queue(self, queue_name: str) -> SubmitOutcome | None:
-        queue = self._stored.configuration.queue_by_name.get(
-            QueueName(queue_name)
-        )
-        if queue is None:
-            return SubmitOutcome(
-                JobId(''),
-                error=ErrorKind.NOT_FOUND,
-                detail=f'queue {queue_name!r} does not exist',
-            )
-        waiting = self._stored.waiting_count_by_queue.get(queue_name, 0)
-        if waiting < queue.max_waiting_tasks:
-            return None
-        return SubmitOutcome(
-            JobId(''),
-            error=ErrorKind.OVERLOADED,
-            detail=f'queue {queue_name!r} holds {waiting} waiting tasks',
-        )
-
     def _adjust_waiting_count(self, record: JobRecord, change: int) -> None:
         count_by_queue = self._stored.waiting_count_by_queue
         queue = record.spec.queue
@@ -471,6 +466,8 @@
         changed_at: float,
     ) -> None:
         task = record.tasks[index]
+        if state is TaskState.FAILED and record.failure_reason is None:
+            record.failure_reason = FailureReason.ATTEMPTS
         if state is TaskState.NOT_RUN and task.may_have_run:
             raise InvariantError(
                 6,
@@ -526,11 +523,69 @@
             self._set_task_state(
                 record,
                 allocation.index,
-                state_after_loss(record),
+                state_after_loss(record, task),
                 f'worker {worker.id} was lost',
                 lost_at,
             )
 
+    def _end_incarnation(
+        self, worker: WorkerRecord, command: commands.RegisterWorker
+    ) -> None:
+        """End the attempts of a worker that has restarted; count its crash."""
+        lost_attempts = worker.unexplained_losses + allocated_attempts(
+            worker, self._stored.job_by_id, command.evidence_by_attempt
+        )
+        self._lose_attempts(worker, command.registered_at)
+        if worker.is_draining or not lost_attempts:
+            return
+        for lost in lost_attempts:
+            record = self._stored.job_by_id.get(lost.job)
+            if record is not None:
+                count_crash(record, lost, worker, command.registered_at)
+        self._effects.append(_crash_effect(worker, lost_attempts))
+        for job_id in dict.fromkeys(lost.job for lost in lost_attempts):
+            record = self._stored.job_by_id.get(job_id)
+            if record is not None and must_give_up(record):
+                self._give_up(record, command.registered_at)
+
+    def _give_up(self, record: JobRecord, given_up_at: float) -> None:
+        """End the waiting tasks of a job that crashes workers.
+
+        Running tasks end when their workers report it.
+        """
+        record.failure_reason = FailureReason.CRASHES
+        record.is_restarting = False
+        for index, task in enumerate(record.tasks):
+            if task.state is TaskState.WAITING:
+                self._set_task_state(
+                    record,
+                    index,
+                    state_of_abandoned(task),
+                    'the job crashes workers and was given up',
+                    given_up_at,
+                )
+        self._effects.append(effects.JobGivenUp(record.id))
+
+
+def _refusal_by_queue(
+    stored: _StoredState, queue_name: str
+) -> SubmitOutcome | None:
+    queue = stored.configuration.queue_by_name.get(QueueName(queue_name))
+    if queue is None:
+        return SubmitOutcome(
+            JobId(''),
+            error=ErrorKind.NOT_FOUND,
+            detail=f'queue {queue_name!r} does not exist',
+        )
+    waiting = stored.waiting_count_by_queue.get(queue_name, 0)
+    if waiting < queue.max_waiting_tasks:
+        return None
+    return SubmitOutcome(
+        JobId(''),
+        error=ErrorKind.OVERLOADED,
+        detail=f'queue {queue_name!r} holds {waiting} waiting tasks',
+    )
+
 
 def _outcome_of_retry(
     record: JobRecord, command: commands.SubmitJob
@@ -565,15 +620,29 @@
         task.state is TaskState.WAITING
         and start.attempt == task.attempt + 1
         and not record.is_restarting
-        and not record.is_cancelled
+        and not record.is_stopping
         and not worker.is_draining
         and not worker.is_lost
     )
 
 
+def _crash_effect(
+    worker: WorkerRecord, lost_attempts: list[LostAttempt]
+) -> effects.WorkerCrashed:
+    return effects.WorkerCrashed(
+        worker.id,
+        worker.incarnation,
+        len(lost_attempts),
+        sum(
+            lost.evidence.evidence >= CrashEvidence.RECENT
+            for lost in lost_attempts
+        ),
+    )
+
+
 def _must_restart(record: JobRecord, state: TaskState) -> bool:
     # A gang runs whole or not at all, so one waiting task stops the others.
-    if record.spec.kind.value != 'gang' or record.is_cancelled:
+    if record.spec.kind.value != 'gang' or record.is_stopping:
         return False
     if not record.is_restarting and state is not TaskState.WAITING:
         return False
--- a/libs/client/src/cassiahold/client/callers.py
+++ b/libs/client/src/cassiahold/client/callers.py
@@ -9,7 +9,12 @@
 from cassiahold.client.connection import GatewayConnection, parse_error
 from cassiahold.core.exceptions import CassiaholdError
 from cassiahold.core.ids import JobId
-from cassiahold.core.states import JobKind, JobOutcome, TaskState
+from cassiahold.core.states import (
+    FailureReason,
+    JobKind,
+    JobOutcome,
+    TaskState,
+)
 
 _MAX_WAIT_S: typing.Final = 30.0
 _RETRY_PAUSE_S: typing.Final = 0.3
@@ -26,7 +31,7 @@
 class JobStatus(msgspec.Struct):
     """The state of one job; times are Unix time in seconds.
 
-    ``finished_at`` is 0 while the job runs.
+    ``finished_at`` is 0 while the job runs; ``reason`` tells why it failed.
     """
 
     job: JobId
@@ -38,6 +43,7 @@
     notes: list[str]
     submitted_at: float
     finished_at: float = 0
+    reason: FailureReason | None = None
 
 
 class CancelResult(msgspec.Struct):
--- a/libs/core/src/cassiahold/core/states.py
+++ b/libs/core/src/cassiahold/core/states.py
@@ -51,6 +51,17 @@
     CANCELLED = 'cancelled'
 
 
+class FailureReason(enum.Enum):
+    """Why a job failed, as reported to callers.
+
+    ``ATTEMPTS`` means that a task failed and is not tried again, ``CRASHES``
+    that a task crashed the workers on which it started.
+    """
+
+    ATTEMPTS = 'attempts'
+    CRASHES = 'crashes'
+
+
 class CommandKind(enum.Enum):
     """A command to a worker about one attempt."""
 
--- a/libs/wire/src/cassiahold/wire/messages.py
+++ b/libs/wire/src/cassiahold/wire/messages.py
@@ -32,6 +32,7 @@
 from cassiahold.core.states import (
     AttemptOutcome,
     CommandKind,
+    FailureReason,
     JobKind,
     JobOutcome,
     TaskState,
@@ -69,7 +70,10 @@
 
 
 class JobStatus(msgspec.Struct, frozen=True, tag='job', omit_defaults=True):
-    """The status of one job; times are Unix times in seconds."""
+    """The status of one job; times are Unix times in seconds.
+
+    ``reason`` is set when the job has failed.
+    """
 
     job: JobId
     team: TeamName
@@ -80,6 +84,7 @@
     notes: list[str]
     submitted_at: float
     finished_at: float = 0
+    reason: FailureReason | None = None
 
 
 class Why(msgspec.Struct, frozen=True, tag='why'):
--- a/programs/scheduler/src/cassiahold/scheduler/control_loop.py
+++ b/programs/scheduler/src/cassiahold/scheduler/control_loop.py
@@ -9,9 +9,11 @@
 
 from cassiahold.cellstate import scheduler_commands as commands
 from cassiahold.cellstate.scheduler_state import SchedulerState
+from cassiahold.cellstate.worker_crashes import AttemptEvidence
 from cassiahold.core import logs
-from cassiahold.core.ids import DataCentre, WorkerId
+from cassiahold.core.ids import AttemptId, DataCentre, WorkerId
 from cassiahold.core.metrics import Metrics
+from cassiahold.scheduler.crash_evidence import weigh_worker
 from cassiahold.scheduler.planner_projection import PlannerProjection
 from cassiahold.scheduler.sessions import SessionTable
 
@@ -99,9 +101,23 @@
                     left=is_departed,
                 )
                 yield commands.MarkWorkersLost(
-                    workers, time.time(), is_departed
+                    workers, time.time(), is_departed, self._evidence(workers)
                 )
 
+    def _evidence(
+        self, workers: list[WorkerId]
+    ) -> dict[AttemptId, AttemptEvidence]:
+        evidence_by_attempt: dict[AttemptId, AttemptEvidence] = {}
+        for worker in workers:
+            evidence_by_attempt.update(
+                weigh_worker(
+                    self._state.worker_by_id[worker],
+                    self._sessions.session_by_worker[worker],
+                    self._state,
+                )
+            )
+        return evidence_by_attempt
+
     def _prune_jobs(self, now: float) -> typing.Iterator[commands.PruneJobs]:
         if now >= self._next_prune_at:
             self._next_prune_at = now + PRUNE_INTERVAL_S
--- a/programs/scheduler/src/cassiahold/scheduler/explain.py
+++ b/programs/scheduler/src/cassiahold/scheduler/explain.py
@@ -19,24 +19,33 @@
     capacity, the team's share and failures.
     """
     if record.is_finished:
-        return [f'it is finished: {record.outcome.value}']
+        return [_finished_reason(record), *_crash_reasons(record)]
     waiting = sum(task.state is TaskState.WAITING for task in record.tasks)
     running = sum(task.state is TaskState.RUNNING for task in record.tasks)
     if not waiting:
-        return [f'nothing waits: {running} of {len(record.tasks)} tasks run']
+        return [
+            f'nothing waits: {running} of {len(record.tasks)} tasks run',
+            *_crash_reasons(record),
+        ]
     reasons = [f'{waiting} of {len(record.tasks)} tasks wait']
-    planner = projection.planner
+    reasons.extend(_placement_reasons(record, state, projection.planner))
+    reasons.extend(_failure_reasons(record))
+    reasons.extend(_crash_reasons(record))
+    return reasons
+
+
+def _placement_reasons(
+    record: JobRecord, state: SchedulerState, planner: Planner
+) -> list[str]:
     waiting_job = planner.waiting_jobs.job_by_id.get(record.id)
     if waiting_job is None:
-        reasons.append(
+        return [
             'it is backing off after a failure, or its earlier attempts are '
             'being stopped'
-        )
-        reasons.extend(_failure_reasons(record))
-        return reasons
+        ]
     if not planner.worker_pool.worker_by_id:
-        reasons.append('no worker has registered in this data centre')
-        return reasons
+        return ['no worker has registered in this data centre']
+    reasons = []
     if not planner.worker_pool.has_worker_large_enough(waiting_job.shape):
         reasons.append(
             'no worker is large enough for a task of '
@@ -45,7 +54,6 @@
     reasons.extend(_limit_reasons(record, waiting_job.shape, state))
     reasons.extend(_capacity_reasons(waiting_job.shape, planner))
     reasons.extend(_share_reasons(record, planner))
-    reasons.extend(_failure_reasons(record))
     return reasons
 
 
@@ -106,3 +114,23 @@
         return []
     notes = {task.note for task in record.tasks if task.failure_count}
     return [f'{failures} attempts failed: {"; ".join(sorted(notes)[:3])}']
+
+
+def _finished_reason(record: JobRecord) -> str:
+    text = f'it is finished: {record.outcome.value}'
+    if record.reported_reason is None:
+        return text
+    return f'{text}, reason {record.reported_reason.value}'
+
+
+def _crash_reasons(record: JobRecord) -> list[str]:
+    """Return the newest crashes of workers under the job, oldest first."""
+    reasons = []
+    if record.is_given_up and not record.is_finished:
+        reasons.append('it crashes workers and was given up')
+    reasons.extend(
+        f'incarnation {crash.incarnation} of worker {crash.worker!r} crashed '
+        f'under attempt {crash.attempt} of task {crash.index}'
+        for crash in record.crashes
+    )
+    return reasons
--- a/programs/scheduler/src/cassiahold/scheduler/planner_projection.py
+++ b/programs/scheduler/src/cassiahold/scheduler/planner_projection.py
@@ -12,6 +12,7 @@
 from cassiahold.cellstate.jobs import JobRecord, WorkerRecord
 from cassiahold.cellstate.scheduler_state import SchedulerState
 from cassiahold.core.ids import JobId, TaskKey, TeamName, WorkerId
+from cassiahold.core.metrics import Metrics
 from cassiahold.core.states import JobKind, TaskState
 from cassiahold.policy.decisions import task_key
 from cassiahold.policy.planner import Planner
@@ -20,6 +21,7 @@
 from cassiahold.policy.teams import TeamLimits
 from cassiahold.policy.waiting_jobs import WaitingJob
 from cassiahold.policy.workers import Worker, WorkerState
+from cassiahold.scheduler.crash_events import record_crash, record_given_up
 
 
 class PlannerProjection:
@@ -29,8 +31,11 @@
     ``deadline_heap`` holds the deadlines of jobs in wall time.
     """
 
-    def __init__(self, state: SchedulerState, now: float) -> None:
+    def __init__(
+        self, state: SchedulerState, now: float, metrics: Metrics
+    ) -> None:
         self.planner = Planner()
+        self.metrics = metrics
         self.needs_plan = True
         self.deadline_heap: list[tuple[float, JobId]] = []
         self._state = state
@@ -91,6 +96,10 @@
             queued_job or self._waiting_job(record, now), index
         )
 
+    def record_given_up(self, job: JobId) -> None:
+        """Log and count a job that was given up for its crashes."""
+        record_given_up(self._state.job_by_id[job], self.metrics)
+
     def update_configuration(self) -> None:
         """Copy shares, limits and placement policies from the state."""
         planner = self.planner
@@ -330,6 +339,20 @@
     projection.update_worker(effect.worker)
 
 
+@_apply_effect.register
+def _(
+    effect: effects.WorkerCrashed, projection: PlannerProjection, now: float
+) -> None:
+    record_crash(effect, projection.metrics)
+
+
+@_apply_effect.register
+def _(
+    effect: effects.JobGivenUp, projection: PlannerProjection, now: float
+) -> None:
+    projection.record_given_up(effect.job)
+
+
 @_apply_effect.register
 def _(
     effect: effects.ConfigurationChanged,
--- a/programs/scheduler/src/cassiahold/scheduler/service.py
+++ b/programs/scheduler/src/cassiahold/scheduler/service.py
@@ -15,10 +15,18 @@
 from cassiahold.cellstate.jobs import JobRecord, JobSpec
 from cassiahold.cellstate.outcomes import SubmitOutcome
 from cassiahold.cellstate.scheduler_state import SchedulerState
+from cassiahold.cellstate.worker_crashes import AttemptEvidence
 from cassiahold.core.conf.settings import Settings
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
-from cassiahold.core.ids import DataCentre, GatewayId, JobId, TeamName
+from cassiahold.core.ids import (
+    AttemptId,
+    DataCentre,
+    GatewayId,
+    JobId,
+    TeamName,
+)
 from cassiahold.core.metrics import Metrics
+from cassiahold.core.states import CommandKind
 from cassiahold.policy.shapes import TaskShape
 from cassiahold.routing.ledger import (
     LeaseDurations,
@@ -28,6 +36,7 @@
 )
 from cassiahold.scheduler import status
 from cassiahold.scheduler.control_loop import ControlLoop
+from cassiahold.scheduler.crash_evidence import weigh_worker
 from cassiahold.scheduler.explain import format_resources, waiting_reasons
 from cassiahold.scheduler.handlers import dispatch_request, propose
 from cassiahold.scheduler.planner_projection import PlannerProjection
@@ -97,10 +106,11 @@
     def start_leading(self, term: int, now: float) -> None:
         """Build the leader's state; every known worker starts with a lease."""
         timing = self._settings.cell.timing
-        projection = PlannerProjection(self.state, now)
+        projection = PlannerProjection(self.state, now, self._metrics)
         sessions = SessionTable(timing.worker_lease_s, timing.clock_drift)
-        for worker in self.state.worker_by_id:
-            sessions.open_session(worker, now)
+        for worker in self.state.worker_by_id.values():
+            session = sessions.open_session(worker.id, now)
+            session.inherited_attempts = frozenset(worker.allocation_by_attempt)
         drift_factor = 1 + 2 * timing.clock_drift
         gateways = [
             GatewayId(host.name)
@@ -281,9 +291,10 @@
         session.sequence = report.sequence
         if self._must_register(report):
             return propose(
-                _register_command(report),
+                _register_command(report, self._evidence(report, session)),
                 lambda _: self._worker_reply(report, session),
             )
+        session.alive_at = now
         leader.report_processor.record_usage(report, now)
         results = leader.report_processor.new_results(report, now)
         if results:
@@ -301,6 +312,14 @@
             )
         return self._worker_reply(report, session, confirms_results=True)
 
+    def _evidence(
+        self, report: messages.WorkerReport, session: WorkerSession
+    ) -> dict[AttemptId, AttemptEvidence]:
+        registered = self.state.worker_by_id.get(report.worker)
+        if registered is None:
+            return {}
+        return weigh_worker(registered, session, self.state)
+
     def _must_register(self, report: messages.WorkerReport) -> bool:
         registered = self.state.worker_by_id.get(report.worker)
         if registered is None or registered.is_lost:
@@ -329,6 +348,12 @@
             if record
             else []
         )
+        if record:
+            session.record_starts(
+                _started_attempts(worker_commands),
+                record.allocation_by_attempt,
+                time.monotonic(),
+            )
         ended_ids = [ended.attempt for ended in report.ended]
         return messages.WorkerReportReply(
             leader.term,
@@ -487,8 +512,19 @@
         )
 
 
+def _started_attempts(
+    worker_commands: list[messages.WorkerCommand],
+) -> list[AttemptId]:
+    return [
+        command.attempt
+        for command in worker_commands
+        if command.command is CommandKind.START
+    ]
+
+
 def _register_command(
     report: messages.WorkerReport,
+    evidence_by_attempt: dict[AttemptId, AttemptEvidence],
 ) -> commands.RegisterWorker:
     return commands.RegisterWorker(
         report.worker,
@@ -498,4 +534,5 @@
         report.rack,
         report.speed,
         time.time(),
+        evidence_by_attempt,
     )
--- a/programs/scheduler/src/cassiahold/scheduler/sessions.py
+++ b/programs/scheduler/src/cassiahold/scheduler/sessions.py
@@ -1,5 +1,8 @@
 """Sessions of workers: their leases and reports, in the leader's memory."""
 
+import math
+import typing
+
 import msgspec
 
 from cassiahold.core.ids import AttemptId, WorkerId
@@ -9,16 +12,49 @@
     """One worker's lease and newest report, since this leader's start.
 
     ``escalation_by_attempt`` counts reports in a row about an attempt that
-    overuses its allocation or must stop.
+    overuses its allocation or must stop.  ``alive_at`` is when the registered
+    incarnation last reported.  ``inherited_attempts`` were allocated when this
+    leader started, so that an earlier one may have sent their starts.
     """
 
     lease_expires_at: float
+    opened_at: float
     sequence: int = -1
     incarnation: int = 0
     term: int = 0
     escalation_by_attempt: dict[AttemptId, int] = msgspec.field(
         default_factory=dict
     )
+    alive_at: float = -math.inf
+    inherited_attempts: frozenset[AttemptId] = frozenset()
+    sent_at_by_attempt: dict[AttemptId, float] = msgspec.field(
+        default_factory=dict
+    )
+
+    def sent_at(self, attempt: AttemptId) -> float:
+        """Return when a start was last sent by this leader."""
+        return self.sent_at_by_attempt.get(attempt, -math.inf)
+
+    def may_have_started(self, attempt: AttemptId) -> bool:
+        """Tell whether this leader or an earlier one may have sent a start."""
+        return (
+            attempt in self.sent_at_by_attempt
+            or attempt in self.inherited_attempts
+        )
+
+    def record_starts(
+        self,
+        started: typing.Iterable[AttemptId],
+        allocated: typing.Container[AttemptId],
+        now: float,
+    ) -> None:
+        """Record the starts in a reply; forget attempts that have ended."""
+        self.sent_at_by_attempt = {
+            attempt: sent_at
+            for attempt, sent_at in self.sent_at_by_attempt.items()
+            if attempt in allocated
+        }
+        self.sent_at_by_attempt.update(dict.fromkeys(started, now))
 
 
 class SessionTable:
@@ -39,7 +75,7 @@
         """Return a worker's session; open one with a full lease if needed."""
         session = self.session_by_worker.get(worker)
         if session is None:
-            session = WorkerSession(now + self._lease_bound_s)
+            session = WorkerSession(now + self._lease_bound_s, now)
             self.session_by_worker[worker] = session
         return session
 
--- a/programs/scheduler/src/cassiahold/scheduler/status.py
+++ b/programs/scheduler/src/cassiahold/scheduler/status.py
@@ -32,6 +32,7 @@
         sorted(notes)[:MAX_NOTES],
         record.submitted_at,
         record.finished_at,
+        record.reported_reason,
     )
 
 
--- a/programs/scheduler/src/cassiahold/scheduler/worker_reports.py
+++ b/programs/scheduler/src/cassiahold/scheduler/worker_reports.py
@@ -145,7 +145,7 @@
                         attempt, record, allocation.index, worker
                     )
                 )
-            elif record.is_cancelled or record.is_restarting:
+            elif record.is_stopping or record.is_restarting:
                 worker_commands.append(WorkerCommand(CommandKind.STOP, attempt))
         worker_commands.extend(self._enforcement_commands(report, session))
         return worker_commands
--- a/programs/scheduler/tests/test_service.py
+++ b/programs/scheduler/tests/test_service.py
@@ -1,35 +1,16 @@
 """Tests of the scheduler service as leader, with a simulated clock."""
 
-import contextlib
-import pathlib
-import typing
-from unittest import mock
-
-from cassiahold.agreement.replica import DeferredReply, Proposal
-from cassiahold.cellstate import scheduler_commands as commands
-from cassiahold.cellstate.jobs import JobSpec
-from cassiahold.cellstate.quotas import QuotaOffer, ResourceTotals
-from cassiahold.config import Configuration, Limit, Queue, Team
-from cassiahold.core.conf.settings import (
-    CellSettings,
-    GroupEntry,
-    HostEntry,
-    HostSettings,
-    Settings,
+from leader_driver import (
+    LEASE_BOUND_S,
+    RED,
+    command_kinds,
+    ended_attempt,
+    running_attempt,
+    running_leader,
 )
+
 from cassiahold.core.exceptions import ErrorKind
-from cassiahold.core.ids import (
-    AttemptId,
-    DataCentre,
-    GroupName,
-    HostName,
-    JobId,
-    RequestId,
-    TeamName,
-    WorkerId,
-)
-from cassiahold.core.metrics import NullMetrics
-from cassiahold.core.resources import Resources
+from cassiahold.core.ids import TeamName, WorkerId
 from cassiahold.core.states import (
     AttemptOutcome,
     CommandKind,
@@ -37,132 +18,8 @@
     JobOutcome,
 )
 from cassiahold.core.testing import expect_error, function_tests
-from cassiahold.scheduler.service import SchedulerService
 from cassiahold.wire import messages
 
-CENTRE = DataCentre('here')
-RED = TeamName('red')
-CAPACITY = Resources(4000, 8000, 0)
-LEASE_BOUND_S = 10 * 1.02
-
-
-class LeaderDriver:
-    """A leading service whose proposals are committed at once."""
-
-    def __init__(self, workers: int = 2) -> None:
-        host = HostEntry(HostName('h'), CENTRE, '127.0.0.1:1', '127.0.0.1:2')
-        group = GroupEntry(GroupName('here'), [host.name])
-        settings = Settings(
-            HostSettings(host.name, '', ''),
-            CellSettings('test', [host], [group], group),
-            host,
-            pathlib.Path(),
-        )
-        self.service = SchedulerService(CENTRE, settings, NullMetrics())
-        self.state = self.service.state
-        self.now = 1000.0
-        self.sequence = 0
-        limit = Limit(cores=100, memory_gb=100)
-        self.state.apply_command(
-            commands.AdoptConfiguration(
-                1,
-                Configuration(
-                    teams=(Team(name='red', limit=limit),),
-                    queues=(Queue(name='jobs', team='red'),),
-                ),
-            )
-        )
-        quota = ResourceTotals(Resources(100_000, 100_000), 100)
-        self.state.apply_command(
-            commands.AdoptQuotaOffer(QuotaOffer(1, {RED: quota}))
-        )
-        self.service.start_leading(1, self.now)
-        for number in range(workers):
-            self.report(f'w{number}')
-
-    def send(self, request: typing.Any) -> typing.Any:
-        result = self.service.handle_request(request, self.now)
-        if isinstance(result, Proposal):
-            reply = result.make_reply(self.service.apply(result.payload))
-            if isinstance(reply, DeferredReply):
-                self.advance(reply.due_at - self.now)
-                return reply.make_reply()
-            return reply
-        return result
-
-    def advance(self, seconds: float = 1.0) -> None:
-        for _ in range(max(round(seconds * 10), 1)):
-            self.now += 0.1
-            for payload in self.service.due_commands(self.now):
-                self.service.apply(payload)
-
-    def submit(self, request_id: str = 'a', **fields: typing.Any) -> JobId:
-        spec = JobSpec(queue='jobs', **fields)
-        submitted = self.send(
-            messages.Submit(RED, RequestId(request_id), request_id, spec)
-        )
-        return typing.cast(JobId, submitted.job)
-
-    def report(
-        self,
-        worker: str = 'w0',
-        running: typing.Sequence[messages.RunningAttempt] = (),
-        ended: typing.Sequence[messages.EndedAttempt] = (),
-        **fields: typing.Any,
-    ) -> messages.WorkerReportReply:
-        self.sequence += 1
-        return typing.cast(
-            messages.WorkerReportReply,
-            self.send(
-                messages.WorkerReport(
-                    **{
-                        'worker': WorkerId(worker),
-                        'incarnation': 1,
-                        'data_centre': CENTRE,
-                        'sequence': self.sequence,
-                        'capacity': CAPACITY,
-                        'running': list(running),
-                        'ended': list(ended),
-                        **fields,
-                    }
-                )
-            ),
-        )
-
-    def outcome(self, job: JobId) -> JobOutcome:
-        return typing.cast(
-            JobOutcome, self.send(messages.GetJob(job, RED)).outcome
-        )
-
-
-@contextlib.contextmanager
-def running_leader(workers: int = 2) -> typing.Iterator[LeaderDriver]:
-    drivers: list[LeaderDriver] = []
-
-    def clock() -> float:
-        return drivers[0].now if drivers else 1000.0
-
-    with (
-        mock.patch('time.monotonic', clock),
-        mock.patch('time.time', clock),
-    ):
-        drivers.append(LeaderDriver(workers))
-        yield drivers[0]
-
-
-def running_attempt(attempt: str, cores_m: int) -> messages.RunningAttempt:
-    return messages.RunningAttempt(AttemptId(attempt), cores_m, 100)
-
-
-def ended_attempt(
-    attempt: str, outcome: AttemptOutcome = AttemptOutcome.DONE
-) -> messages.EndedAttempt:
-    return messages.EndedAttempt(AttemptId(attempt), outcome, ran_s=1.0)
-
-
-def command_kinds(reply: messages.WorkerReportReply) -> list[CommandKind]:
-    return [command.command for command in reply.commands]
-
 
 def test_job_is_placed_started_and_finished() -> None:
     with running_leader(workers=1) as driver:
