Start tasks that may crash their workers apart from others

Cause: what crashed together was started together again, so that a crash did not tell which of several recent starts had caused it. Change: a task with a suspect score waits for a trial: it starts where no task has just started, and nothing else starts there until its worker has reported it for 0.5 s. Workers with members of gangs or services are left out while another is large enough. Under load a tenth of the workers may have a trial, and a worker is held for one for 5 s at most. A gang with a suspect member starts whole and keeps other starts off its workers. Result: test_a_suspect_task_starts_apart_from_other_tasks and test_a_task_charged_late_while_it_waits_starts_apart failed before (the task started beside three others; nothing marked it) and pass.

--- a/libs/cellstate/src/cassiahold/cellstate/effects.py
+++ b/libs/cellstate/src/cassiahold/cellstate/effects.py
@@ -66,6 +66,13 @@
     recent_count: int
 
 
+class TaskCharged(msgspec.Struct, frozen=True):
+    """A crash of a worker was counted against a task."""
+
+    job: JobId
+    index: int
+
+
 class JobGivenUp(msgspec.Struct, frozen=True):
     """A job has failed because a task crashed too many workers."""
 
@@ -84,6 +91,7 @@
     | AttemptEnded
     | WorkerChanged
     | WorkerCrashed
+    | TaskCharged
     | JobGivenUp
     | ConfigurationChanged
 )
--- a/libs/cellstate/src/cassiahold/cellstate/scheduler_state.py
+++ b/libs/cellstate/src/cassiahold/cellstate/scheduler_state.py
@@ -542,6 +542,7 @@
             record = self._stored.job_by_id.get(lost.job)
             if record is not None:
                 count_crash(record, lost, worker, command.registered_at)
+                self._effects.append(effects.TaskCharged(lost.job, lost.index))
         self._effects.append(_crash_effect(worker, lost_attempts))
         for job_id in dict.fromkeys(lost.job for lost in lost_attempts):
             record = self._stored.job_by_id.get(job_id)
--- a/libs/policy/src/cassiahold/policy/planner.py
+++ b/libs/policy/src/cassiahold/policy/planner.py
@@ -22,6 +22,7 @@
 from cassiahold.policy.reservations import ReservationRegistry
 from cassiahold.policy.shares import Claim, entitlements
 from cassiahold.policy.teams import TeamLimits, TeamUsage
+from cassiahold.policy.trials import TrialRegistry
 from cassiahold.policy.waiting_jobs import (
     WaitingJobs,
 )
@@ -53,6 +54,7 @@
         self.reservations = ReservationRegistry(
             self.worker_pool, self.task_by_key, self.estimator
         )
+        self.trials = TrialRegistry(self.worker_pool, self.task_by_key)
         self.urgent_allocated = NO_RESOURCES
         self._random = random.Random(seed)
         self._blocked_since_by_team: dict[TeamName, float] = {}
@@ -66,6 +68,8 @@
         usage = self.usage_by_team.setdefault(task.team, TeamUsage())
         usage.resources += task.resources
         usage.task_count += 1
+        if task.is_suspect:
+            self.trials.refresh(task.worker)
         if task.is_urgent:
             self.urgent_allocated += task.resources
         self._adjust_rack_count(task, 1)
@@ -79,6 +83,8 @@
         worker = self.worker_pool.worker_by_id.get(task.worker)
         if worker is not None:
             self.worker_pool.release(worker, key)
+            if task.is_suspect:
+                self.trials.refresh(task.worker)
         usage = self.usage_by_team[task.team]
         usage.resources -= task.resources
         usage.task_count -= 1
@@ -160,9 +166,11 @@
         is when everything that fits has been placed.
         """
         self.reservations.release_expired(self.waiting_jobs, now)
+        self.trials.release_expired(self._is_suspect_waiting, now)
         planning = PlanningRound(self, now, max_starts)
         if self.must_check_limits:
             self.must_check_limits = planning.stop_tasks_over_limits()
+        planning.place_suspects()
         planning.place_urgent()
         planning.place_by_share()
         if planning.starts_left > 0:
@@ -173,6 +181,11 @@
             planning.start_groups, planning.evictions, planning.starts_left > 0
         )
 
+    def _is_suspect_waiting(self, key: TaskKey) -> bool:
+        job_id, _, index = key.rpartition('/')
+        job = self.waiting_jobs.job_by_id.get(JobId(job_id))
+        return job is not None and int(index) in job.suspect_indexes
+
     def fits_team_limits(self, team: TeamName, resources: Resources) -> bool:
         """Tell whether ``resources`` and one task more are within the limits.
 
--- a/libs/policy/src/cassiahold/policy/planning_round.py
+++ b/libs/policy/src/cassiahold/policy/planning_round.py
@@ -19,6 +19,7 @@
     find_cheapest_eviction,
 )
 from cassiahold.policy.reservations import GANG_RESERVATION_DELAY_S
+from cassiahold.policy.shapes import TaskShape
 from cassiahold.policy.teams import TeamLimits, TeamUsage
 from cassiahold.policy.waiting_jobs import (
     EquivalenceClass,
@@ -60,6 +61,29 @@
         self._unplaceable_requests: set[tuple[typing.Any, ...]] = set()
         self._blocked_jobs: list[WaitingJob] = []
 
+    def place_suspects(self) -> None:
+        """Place tasks that may crash their workers, each on trial.
+
+        They come first: a worker that is free of recent starts would otherwise
+        always be taken by other tasks.
+        """
+        suspect_jobs = [
+            job
+            for team_jobs in self._planner.waiting_jobs.jobs_by_team.values()
+            for job in team_jobs.suspect_job_by_id.values()
+        ]
+        suspects = (
+            (job, index)
+            for job in sorted(suspect_jobs, key=lambda job: job.waiting_since)
+            for index in tuple(job.suspect_indexes)
+        )
+        blocked_shapes: set[TaskShape] = set()
+        for job, index in suspects:
+            if self.starts_left <= 0:
+                return
+            if job.shape not in blocked_shapes:
+                self._place_suspect(job, index, blocked_shapes)
+
     def place_urgent(self) -> None:
         """Place urgent jobs within their budget, oldest first."""
         classes = [
@@ -332,6 +356,27 @@
         self.start_groups.append([self._record_start(job, index, worker.id)])
         return True
 
+    def _place_suspect(
+        self, job: WaitingJob, index: int, blocked_shapes: set[TaskShape]
+    ) -> None:
+        planner = self._planner
+        resources = job.shape.resources
+        if not planner.fits_team_limits(job.team, resources):
+            return
+        if job.is_urgent and not self._is_within_urgent_budget():
+            return
+        key = task_key(job.id, index)
+        worker = planner.trials.find_worker(key, job.shape, self._now)
+        if worker is None:
+            if not planner.trials.is_held_for(key):
+                blocked_shapes.add(job.shape)
+            return
+        planner.waiting_jobs.remove_task(job.id, index)
+        planner.worker_pool.allocate(worker, key, resources)
+        self.start_groups.append(
+            [self._record_start(job, index, worker.id, is_suspect=True)]
+        )
+
     def _place_gang(self, job: WaitingJob) -> bool:
         planner = self._planner
         task_count = len(job.pending_indexes)
@@ -352,7 +397,10 @@
         self.start_groups.append(
             [
                 self._record_start(
-                    job, placement.task_index, placement.worker.id
+                    job,
+                    placement.task_index,
+                    placement.worker.id,
+                    is_suspect=job.has_suspect_member,
                 )
                 for placement in placements
             ]
@@ -361,7 +409,12 @@
         return True
 
     def _record_start(
-        self, job: WaitingJob, index: int, worker: WorkerId
+        self,
+        job: WaitingJob,
+        index: int,
+        worker: WorkerId,
+        *,
+        is_suspect: bool = False,
     ) -> StartDecision:
         self.starts_left -= 1
         resources = job.shape.resources
@@ -378,6 +431,7 @@
                 job.name,
                 job.is_urgent,
                 job.is_idempotent,
+                is_suspect=is_suspect,
             )
         )
         return StartDecision(job.id, index, worker, resources)
--- a/libs/policy/src/cassiahold/policy/preemption.py
+++ b/libs/policy/src/cassiahold/policy/preemption.py
@@ -23,7 +23,9 @@
 class RunningTask(msgspec.Struct):
     """A task with an allocation on a worker, as the planner sees it.
 
-    ``peak_usage`` is the highest usage reported so far.
+    ``peak_usage`` is the highest usage reported so far.  ``is_suspect`` marks
+    a task that may crash its worker, ``is_settled`` one that its worker has
+    reported as running for a while.
     """
 
     key: TaskKey
@@ -39,6 +41,8 @@
     is_idempotent: bool = True
     is_stopping: bool = False
     peak_usage: Resources = Resources()
+    is_suspect: bool = False
+    is_settled: bool = False
 
     @property
     def is_preemptible(self) -> bool:
--- a/libs/policy/src/cassiahold/policy/waiting_jobs.py
+++ b/libs/policy/src/cassiahold/policy/waiting_jobs.py
@@ -45,6 +45,8 @@
         'kind',
         'name',
         'pending_indexes',
+        'suspect_indexes',
+        'has_suspect_member',
         'expected_run_s',
         'shape',
         'waiting_since',
@@ -81,6 +83,10 @@
         )
         # An ordered set of task indexes, in the order of their arrival.
         self.pending_indexes: dict[int, None] = {}
+        # Tasks that may crash their workers; they start on trial.
+        self.suspect_indexes: dict[int, None] = {}
+        # Whether a task of a gang may crash its worker.
+        self.has_suspect_member = False
 
     @property
     def is_gang(self) -> bool:
@@ -89,7 +95,12 @@
 
     def is_task_pending(self, index: int) -> bool:
         """Tell whether a task of the job waits for placement."""
-        return index in self.pending_indexes
+        return index in self.pending_indexes or index in self.suspect_indexes
+
+    @property
+    def waiting_count(self) -> int:
+        """Return how many tasks wait, those that start on trial included."""
+        return len(self.pending_indexes) + len(self.suspect_indexes)
 
     @property
     def equivalence_class(self) -> EquivalenceClass:
@@ -106,6 +117,7 @@
 
     def __init__(self) -> None:
         self.jobs_by_class: dict[EquivalenceClass, JobsById] = {}
+        self.suspect_job_by_id: JobsById = {}
         self.total_resources = NO_RESOURCES
         self.task_count = 0
 
@@ -127,9 +139,10 @@
         oldest_of_classes = (
             next(iter(jobs.values())) for jobs in self.jobs_by_class.values()
         )
-        return min(
-            oldest_of_classes, key=lambda job: job.waiting_since, default=None
+        candidates = itertools.chain(
+            oldest_of_classes, self.suspect_job_by_id.values()
         )
+        return min(candidates, key=lambda job: job.waiting_since, default=None)
 
     def adjust_totals(self, resources: Resources, task_change: int) -> None:
         """Add tasks of one size to the totals; a negative change removes."""
@@ -144,17 +157,27 @@
         self.jobs_by_team: dict[TeamName, TeamWaitingJobs] = {}
         self.job_by_id: dict[JobId, WaitingJob] = {}
 
-    def add_task(self, job: WaitingJob, index: int) -> None:
-        """Add a waiting task; its job is added with its first task."""
+    def add_task(
+        self, job: WaitingJob, index: int, *, is_suspect: bool = False
+    ) -> None:
+        """Add a waiting task; its job is added with its first task.
+
+        A suspect task waits for a trial, unless it is a member of a gang.
+        """
         queued_job = self.job_by_id.get(job.id)
         team_jobs = self.jobs_by_team.setdefault(job.team, TeamWaitingJobs())
         if queued_job is None:
             queued_job = job
             self.job_by_id[job.id] = job
-            team_jobs.jobs_by_class.setdefault(job.equivalence_class, {})[
-                job.id
-            ] = job
-        queued_job.pending_indexes[index] = None
+        if is_suspect and not job.is_gang:
+            team_jobs.suspect_job_by_id[job.id] = queued_job
+            queued_job.suspect_indexes[index] = None
+        else:
+            team_jobs.jobs_by_class.setdefault(
+                queued_job.equivalence_class, {}
+            )[job.id] = queued_job
+            queued_job.pending_indexes[index] = None
+            queued_job.has_suspect_member |= is_suspect
         team_jobs.adjust_totals(queued_job.shape.resources, 1)
 
     def pop_tasks(self, job: WaitingJob, count: int = 1) -> list[int]:
@@ -168,8 +191,9 @@
     def remove_task(self, job_id: JobId, index: int) -> None:
         """Remove one waiting task; unknown ones are ignored."""
         job = self.job_by_id.get(job_id)
-        if job is not None and index in job.pending_indexes:
-            job.pending_indexes.pop(index)
+        if job is not None and job.is_task_pending(index):
+            job.pending_indexes.pop(index, None)
+            job.suspect_indexes.pop(index, None)
             self._after_removal(job, 1)
 
     def jobs_named(self, team: TeamName, name: str) -> list[WaitingJob]:
@@ -177,37 +201,43 @@
         team_jobs = self.jobs_by_team.get(team)
         if team_jobs is None:
             return []
-        return [
+        jobs_of_classes = (
             job
             for jobs in team_jobs.jobs_by_class.values()
             for job in jobs.values()
-            if job.name == name
-        ]
+        )
+        job_by_id = {job.id: job for job in jobs_of_classes}
+        job_by_id.update(team_jobs.suspect_job_by_id)
+        return [job for job in job_by_id.values() if job.name == name]
 
     def change_shape(self, job: WaitingJob, shape: TaskShape) -> None:
         """Change the shape of a waiting job's tasks, and so its class."""
         team_jobs = self.jobs_by_team[job.team]
-        team_jobs.adjust_totals(job.shape.resources, -len(job.pending_indexes))
+        team_jobs.adjust_totals(job.shape.resources, -job.waiting_count)
         self._remove_from_class(job, team_jobs)
         job.shape = shape
-        team_jobs.jobs_by_class.setdefault(job.equivalence_class, {})[
-            job.id
-        ] = job
-        team_jobs.adjust_totals(shape.resources, len(job.pending_indexes))
+        if job.pending_indexes:
+            team_jobs.jobs_by_class.setdefault(job.equivalence_class, {})[
+                job.id
+            ] = job
+        team_jobs.adjust_totals(shape.resources, job.waiting_count)
 
     def _after_removal(self, job: WaitingJob, count: int) -> None:
         team_jobs = self.jobs_by_team[job.team]
         team_jobs.adjust_totals(job.shape.resources, -count)
         if not job.pending_indexes:
             self._remove_from_class(job, team_jobs)
+        if not job.suspect_indexes:
+            team_jobs.suspect_job_by_id.pop(job.id, None)
+        if not job.waiting_count:
             self.job_by_id.pop(job.id)
-            if not team_jobs.jobs_by_class:
-                self.jobs_by_team.pop(job.team)
+        if not team_jobs.task_count:
+            self.jobs_by_team.pop(job.team)
 
     def _remove_from_class(
         self, job: WaitingJob, team_jobs: TeamWaitingJobs
     ) -> None:
-        jobs = team_jobs.jobs_by_class[job.equivalence_class]
-        jobs.pop(job.id)
+        jobs = team_jobs.jobs_by_class.get(job.equivalence_class, {})
+        jobs.pop(job.id, None)
         if not jobs:
-            team_jobs.jobs_by_class.pop(job.equivalence_class)
+            team_jobs.jobs_by_class.pop(job.equivalence_class, None)
--- a/libs/policy/src/cassiahold/policy/workers.py
+++ b/libs/policy/src/cassiahold/policy/workers.py
@@ -38,6 +38,7 @@
         'id',
         'rack',
         'concurrency_limit',
+        'is_on_trial',
         'speed',
         'state',
         'worker_class',
@@ -59,6 +60,8 @@
         self.state = WorkerState.AVAILABLE
         # Maximum number of attempts at once; None for no limit but capacity.
         self.concurrency_limit: int | None = None
+        # Whether a task that may crash the worker is to start there alone.
+        self.is_on_trial = False
         # Id of the job that this worker is reserved for, empty if none.
         self.reserved_for = ''
         self.allocation_by_key: dict[str, Resources] = {}
@@ -76,7 +79,12 @@
 
     @property
     def is_eligible(self) -> bool:
-        """Tell whether the worker may get new attempts if they fit."""
+        """Tell whether the worker may get any new attempts if they fit."""
+        return self.accepts_attempts and not self.is_on_trial
+
+    @property
+    def accepts_attempts(self) -> bool:
+        """Tell whether a task on trial may start if it fits."""
         if self.state not in _ELIGIBLE_STATES:
             return False
         return (
--- a/programs/scheduler/src/cassiahold/scheduler/explain.py
+++ b/programs/scheduler/src/cassiahold/scheduler/explain.py
@@ -46,6 +46,11 @@
     if not planner.worker_pool.worker_by_id:
         return ['no worker has registered in this data centre']
     reasons = []
+    if waiting_job.suspect_indexes:
+        reasons.append(
+            f'{len(waiting_job.suspect_indexes)} tasks may crash their '
+            f'workers and start apart from other tasks'
+        )
     if not planner.worker_pool.has_worker_large_enough(waiting_job.shape):
         reasons.append(
             'no worker is large enough for a task of '
--- a/programs/scheduler/src/cassiahold/scheduler/planner_projection.py
+++ b/programs/scheduler/src/cassiahold/scheduler/planner_projection.py
@@ -11,6 +11,7 @@
 from cassiahold.cellstate import effects
 from cassiahold.cellstate.jobs import JobRecord, WorkerRecord
 from cassiahold.cellstate.scheduler_state import SchedulerState
+from cassiahold.core.crashes import is_suspect
 from cassiahold.core.ids import JobId, TaskKey, TeamName, WorkerId
 from cassiahold.core.metrics import Metrics
 from cassiahold.core.states import JobKind, TaskState
@@ -93,9 +94,18 @@
             return
         self.needs_plan = True
         self.planner.waiting_jobs.add_task(
-            queued_job or self._waiting_job(record, now), index
+            queued_job or self._waiting_job(record, now),
+            index,
+            is_suspect=is_suspect(record.tasks[index].crash_score),
         )
 
+    def requeue_suspect(self, job_id: JobId, index: int, now: float) -> None:
+        """Let a waiting task that has become suspect wait for a trial."""
+        waiting_job = self.planner.waiting_jobs.job_by_id.get(job_id)
+        if waiting_job is not None and waiting_job.is_task_pending(index):
+            self.planner.waiting_jobs.remove_task(job_id, index)
+            self.queue_task(job_id, index, now)
+
     def record_given_up(self, job: JobId) -> None:
         """Log and count a job that was given up for its crashes."""
         record_given_up(self._state.job_by_id[job], self.metrics)
@@ -122,6 +132,7 @@
         worker_pool = self.planner.worker_pool
         if record is None:
             worker_pool.remove(worker_id)
+            self.planner.trials.refresh(worker_id)
             self.planner.failure_tracker.remove_worker(worker_id)
             return
         self.planner.failure_tracker.add_worker(worker_id, record.rack)
@@ -132,6 +143,7 @@
                 worker.allocate(key, resources)
             worker.reserved_for = previous.reserved_for
         worker_pool.add(worker)
+        self.planner.trials.refresh(worker_id)
         self.update_worker_state(worker_id)
 
     def update_worker_state(self, worker_id: WorkerId) -> None:
@@ -248,6 +260,7 @@
                 spec.name,
                 spec.urgent,
                 spec.idempotent,
+                is_suspect=is_suspect(record.tasks[index].crash_score),
             )
         )
 
@@ -346,6 +359,13 @@
     record_crash(effect, projection.metrics)
 
 
+@_apply_effect.register
+def _(
+    effect: effects.TaskCharged, projection: PlannerProjection, now: float
+) -> None:
+    projection.requeue_suspect(effect.job, effect.index, now)
+
+
 @_apply_effect.register
 def _(
     effect: effects.JobGivenUp, projection: PlannerProjection, now: float
--- a/programs/scheduler/src/cassiahold/scheduler/service.py
+++ b/programs/scheduler/src/cassiahold/scheduler/service.py
@@ -295,7 +295,7 @@
                 lambda _: self._worker_reply(report, session),
             )
         session.alive_at = now
-        leader.report_processor.record_usage(report, now)
+        leader.report_processor.record_usage(report, session, now)
         results = leader.report_processor.new_results(report, now)
         if results:
             return propose(
--- a/programs/scheduler/src/cassiahold/scheduler/worker_reports.py
+++ b/programs/scheduler/src/cassiahold/scheduler/worker_reports.py
@@ -13,15 +13,18 @@
 from cassiahold.cellstate.jobs import JobRecord, WorkerRecord
 from cassiahold.cellstate.scheduler_state import SchedulerState
 from cassiahold.core import logs
+from cassiahold.core.crashes import RECENT_START_S
 from cassiahold.core.ids import AttemptId, JobId
 from cassiahold.core.resources import Resources
 from cassiahold.core.states import AttemptOutcome, CommandKind, TaskState
 from cassiahold.policy.decisions import task_key
 from cassiahold.policy.failure_tracking import HEALTHY_START_S
+from cassiahold.policy.workers import Worker
 from cassiahold.scheduler.planner_projection import PlannerProjection
 from cassiahold.scheduler.sessions import WorkerSession
 from cassiahold.wire.messages import (
     EndedAttempt,
+    RunningAttempt,
     WorkerCommand,
     WorkerReport,
 )
@@ -79,7 +82,9 @@
                 )
         return results
 
-    def record_usage(self, report: WorkerReport, now: float) -> None:
+    def record_usage(
+        self, report: WorkerReport, session: WorkerSession, now: float
+    ) -> None:
         """Record the resources that running attempts use.
 
         Usage beyond an allocation reduces the worker's free resources.
@@ -90,31 +95,11 @@
         worker = planner.worker_pool.worker_by_id.get(report.worker)
         if worker is None:
             return
-        has_changed = False
-        for running in report.running:
-            parts = parse_attempt_id(running.attempt)
-            if parts is None:
-                continue
-            task = planner.task_by_key.get(
-                task_key(parts.job, parts.task_index)
-            )
-            if task is None or task.worker != report.worker:
-                continue
-            used = Resources(running.cores_m, running.memory_mb)
-            task.peak_usage = task.peak_usage.elementwise_max(used)
-            planner.estimator.record_usage(task.team, task.name, used)
-            if not used.fits_in(task.resources) or worker.overuse_by_key:
-                worker.record_usage(task.key, used)
-                has_changed = True
-            if now - task.started_at >= HEALTHY_START_S:
-                planner.failure_tracker.record_healthy_start(
-                    task.team, task.name
-                )
-            if now - task.started_at >= LONG_RUN_S:
-                has_changed |= planner.failure_tracker.record_long_run(
-                    report.worker
-                )
-        if has_changed:
+        changes = [
+            self._record_running(running, worker, session, now)
+            for running in report.running
+        ]
+        if any(changes):
             self._projection.update_worker_state(report.worker)
 
     def commands_for(
@@ -150,6 +135,38 @@
         worker_commands.extend(self._enforcement_commands(report, session))
         return worker_commands
 
+    def _record_running(
+        self,
+        running: RunningAttempt,
+        worker: Worker,
+        session: WorkerSession,
+        now: float,
+    ) -> bool:
+        """Record one running attempt; return whether the worker changed."""
+        planner = self._projection.planner
+        parts = parse_attempt_id(running.attempt)
+        if parts is None:
+            return False
+        task = planner.task_by_key.get(task_key(parts.job, parts.task_index))
+        if task is None or task.worker != worker.id:
+            return False
+        has_changed = False
+        sent_at = max(session.sent_at(running.attempt), task.started_at)
+        if not task.is_settled and now - sent_at >= RECENT_START_S:
+            planner.trials.settle(task)
+            has_changed = True
+        used = Resources(running.cores_m, running.memory_mb)
+        task.peak_usage = task.peak_usage.elementwise_max(used)
+        planner.estimator.record_usage(task.team, task.name, used)
+        if not used.fits_in(task.resources) or worker.overuse_by_key:
+            worker.record_usage(task.key, used)
+            has_changed = True
+        if now - task.started_at >= HEALTHY_START_S:
+            planner.failure_tracker.record_healthy_start(task.team, task.name)
+        if now - task.started_at >= LONG_RUN_S:
+            has_changed |= planner.failure_tracker.record_long_run(worker.id)
+        return has_changed
+
     def _job_of_current_attempt(
         self, parts: AttemptParts, report: WorkerReport
     ) -> JobRecord | None:
--- a/programs/scheduler/tests/test_crashing_tasks.py
+++ b/programs/scheduler/tests/test_crashing_tasks.py
@@ -193,4 +193,50 @@
         assert driver.outcome(job) is JobOutcome.FAILED
 
 
+def test_a_suspect_task_starts_apart_from_other_tasks() -> None:
+    with running_leader() as driver:
+        guilty = driver.submit('guilty')
+        driver.advance(0.5)
+        crash_under(driver, guilty, rounds=1)
+        driver.submit('others', tasks=7)
+        driver.advance(0.5)
+        for number in range(2):
+            jobs = set(
+                map(job_of, started_attempts(driver.report(f'w{number}')))
+            )
+            assert guilty not in jobs or jobs == {guilty}
+
+
+def test_a_suspect_task_starts_under_a_stream_of_short_tasks() -> None:
+    with running_leader(workers=1) as driver:
+        guilty = driver.submit('guilty')
+        driver.advance(0.5)
+        assert started_attempts(driver.report())
+        driver.crash()
+        running: list[AttemptId] = []
+        for number in range(60):
+            driver.submit(f'short{number}', tasks=2)
+            driver.advance(0.3)
+            ended, rest = running[:2], running[2:]
+            reply = driver.report(
+                running=[running_attempt(attempt, 1) for attempt in rest],
+                ended=[ended_attempt(attempt) for attempt in ended],
+            )
+            running = [*rest, *started_attempts(reply)]
+            if guilty in map(job_of, running):
+                break
+        assert guilty in map(job_of, running)
+
+
+def test_a_task_charged_late_while_it_waits_starts_apart() -> None:
+    with running_leader(workers=1) as driver:
+        guilty = driver.submit('guilty')
+        driver.advance(0.5)
+        assert started_attempts(driver.report())
+        driver.advance(LEASE_BOUND_S + 0.5)
+        assert 'may crash their workers' not in why(driver, guilty)
+        driver.crash()
+        assert 'may crash their workers' in why(driver, guilty)
+
+
 load_tests = function_tests(globals())
