Give work again to a worker that left and returned

Cause: a worker that says it is leaving was drained like one that an operator drains. Back in a new incarnation before its lease had lapsed, it stayed drained until an operator ended a drain that nobody had started. Change: what the worker says of itself is kept apart (is_leaving) and ends with its incarnation; the drain of an operator outlives restarts.

--- a/libs/cellstate/src/cassiahold/cellstate/crash_counting.py
+++ b/libs/cellstate/src/cassiahold/cellstate/crash_counting.py
@@ -33,11 +33,11 @@
 ) -> list[LostAttempt]:
     """Return the attempts that end with a worker, with their evidence.
 
-    A draining worker ends them orderly: then none is returned, and none
+    A departing worker ends them orderly: then none is returned, and none
     without evidence of the leader.  An attempt that the leader has no evidence
     for was allocated after it had weighed them, and so never sent.
     """
-    if worker.is_draining or evidence_by_attempt is None:
+    if worker.is_departing or evidence_by_attempt is None:
         return []
     lost_attempts = []
     for allocation in worker.allocation_by_attempt.values():
--- a/libs/cellstate/src/cassiahold/cellstate/jobs.py
+++ b/libs/cellstate/src/cassiahold/cellstate/jobs.py
@@ -165,7 +165,8 @@
 class WorkerRecord(msgspec.Struct, array_like=True):
     """A registered worker and the allocations on it.
 
-    ``incarnation`` grows with each restart of the worker.
+    ``incarnation`` grows with each restart of the worker.  ``is_draining`` is
+    set by an operator, ``is_leaving`` by the worker until it restarts.
     """
 
     id: WorkerId
@@ -182,6 +183,12 @@
     )
     # Of this incarnation; charged if it turns out to have crashed.
     unexplained_losses: list[LostAttempt] = msgspec.field(default_factory=list)
+    is_leaving: bool = False
+
+    @property
+    def is_departing(self) -> bool:
+        """Tell whether the worker gets no new tasks and ends in order."""
+        return self.is_draining or self.is_leaving
 
 
 def attempt_id(job: JobId, index: int, attempt: int) -> AttemptId:
--- a/libs/cellstate/src/cassiahold/cellstate/scheduler_commands.py
+++ b/libs/cellstate/src/cassiahold/cellstate/scheduler_commands.py
@@ -118,10 +118,15 @@
 
 
 class DrainWorker(msgspec.Struct, frozen=True, array_like=True, tag='drain'):
-    """Drains a worker, so that it gets no new tasks, or ends the drain."""
+    """Drains a worker, so that it gets no new tasks, or ends the drain.
+
+    ``is_leaving`` is set if the worker itself has said so, for as long as this
+    incarnation of it lives.
+    """
 
     worker: WorkerId
     is_draining: bool
+    is_leaving: bool | None = None
 
 
 class RegisterGateway(
--- a/libs/cellstate/src/cassiahold/cellstate/scheduler_state.py
+++ b/libs/cellstate/src/cassiahold/cellstate/scheduler_state.py
@@ -312,7 +312,10 @@
         worker = self._stored.worker_by_id.get(command.worker)
         if worker is None:
             return False
-        worker.is_draining = command.is_draining
+        if command.is_leaving is None:
+            worker.is_draining = command.is_draining
+        else:
+            worker.is_leaving = command.is_leaving
         self._effects.append(effects.WorkerChanged(worker.id))
         return True
 
@@ -536,7 +539,7 @@
             worker, self._stored.job_by_id, command.evidence_by_attempt
         )
         self._lose_attempts(worker, command.registered_at)
-        if worker.is_draining or not lost_attempts:
+        if worker.is_departing or not lost_attempts:
             return
         for lost in lost_attempts:
             record = self._stored.job_by_id.get(lost.job)
@@ -622,7 +625,7 @@
         and start.attempt == task.attempt + 1
         and not record.is_restarting
         and not record.is_stopping
-        and not worker.is_draining
+        and not worker.is_departing
         and not worker.is_lost
     )
 
--- a/programs/scheduler/src/cassiahold/scheduler/planner_projection.py
+++ b/programs/scheduler/src/cassiahold/scheduler/planner_projection.py
@@ -162,7 +162,7 @@
         worker.concurrency_limit = concurrency_limit
         if record.is_lost:
             worker.state = WorkerState.LOST
-        elif record.is_draining:
+        elif record.is_departing:
             worker.state = WorkerState.DRAINING
         elif concurrency_limit == 0:
             worker.state = WorkerState.QUARANTINED
--- a/programs/scheduler/src/cassiahold/scheduler/service.py
+++ b/programs/scheduler/src/cassiahold/scheduler/service.py
@@ -303,9 +303,11 @@
                 lambda _: self._reply_after_refill(report, session),
             )
         record = self.state.worker_by_id[report.worker]
-        if report.leaving and not record.is_draining:
+        if report.leaving and not record.is_leaving:
             return propose(
-                commands.DrainWorker(report.worker, is_draining=True),
+                commands.DrainWorker(
+                    report.worker, is_draining=True, is_leaving=True
+                ),
                 lambda _: self._worker_reply(
                     report, session, confirms_results=True
                 ),
--- a/programs/scheduler/tests/leader_driver.py
+++ b/programs/scheduler/tests/leader_driver.py
@@ -75,14 +75,17 @@
             self.report(f'w{number}')
 
     def send(self, request: typing.Any) -> typing.Any:
-        result = self.service.handle_request(request, self.now)
-        if isinstance(result, Proposal):
-            reply = result.make_reply(self.service.apply(result.payload))
-            if isinstance(reply, DeferredReply):
-                self.advance(reply.due_at - self.now)
-                return reply.make_reply()
-            return reply
-        return result
+        return self.finish(self.service.handle_request(request, self.now))
+
+    def finish(self, result: typing.Any) -> typing.Any:
+        """Commit a proposal; return its reply, or that of other requests."""
+        if not isinstance(result, Proposal):
+            return result
+        reply = result.make_reply(self.service.apply(result.payload))
+        if isinstance(reply, DeferredReply):
+            self.advance(reply.due_at - self.now)
+            return reply.make_reply()
+        return reply
 
     def advance(self, seconds: float = 1.0) -> None:
         for _ in range(max(round(seconds * 10), 1)):
@@ -98,30 +101,28 @@
         return typing.cast(JobId, submitted.job)
 
     def report(
-        self,
-        worker: str = 'w0',
-        running: typing.Sequence[messages.RunningAttempt] = (),
-        ended: typing.Sequence[messages.EndedAttempt] = (),
-        **fields: typing.Any,
+        self, worker: str = 'w0', **fields: typing.Any
     ) -> messages.WorkerReportReply:
-        self.sequence += 1
-        incarnation = self.incarnation_by_worker.get(worker, 1)
         return typing.cast(
             messages.WorkerReportReply,
-            self.send(
-                messages.WorkerReport(
-                    **{
-                        'worker': WorkerId(worker),
-                        'incarnation': incarnation,
-                        'data_centre': CENTRE,
-                        'sequence': self.sequence,
-                        'capacity': CAPACITY,
-                        'running': list(running),
-                        'ended': list(ended),
-                        **fields,
-                    }
-                )
-            ),
+            self.finish(self.handle_report(worker, **fields)),
+        )
+
+    def handle_report(
+        self, worker: str = 'w0', **fields: typing.Any
+    ) -> typing.Any:
+        """Return the reply to a report, or its proposal, not committed."""
+        self.sequence += 1
+        report = {
+            'worker': WorkerId(worker),
+            'incarnation': self.incarnation_by_worker.get(worker, 1),
+            'data_centre': CENTRE,
+            'sequence': self.sequence,
+            'capacity': CAPACITY,
+            **fields,
+        }
+        return self.service.handle_request(
+            messages.WorkerReport(**report), self.now
         )
 
     def crash(self, worker: str = 'w0') -> messages.WorkerReportReply:
--- a/programs/scheduler/tests/test_crashing_tasks.py
+++ b/programs/scheduler/tests/test_crashing_tasks.py
@@ -146,13 +146,15 @@
             attempts.update(started_attempts(driver.report(worker)))
         driver.advance()
         for worker, attempts in running.items():
-            driver.report(worker, [running_attempt(a, 1) for a in attempts])
+            driver.report(
+                worker, running=[running_attempt(a, 1) for a in attempts]
+            )
         guilty = driver.submit('guilty')
         for _ in range(40):
             driver.advance(0.5)
             for worker, attempts in running.items():
                 reply = driver.report(
-                    worker, [running_attempt(a, 1) for a in attempts]
+                    worker, running=[running_attempt(a, 1) for a in attempts]
                 )
                 started = started_attempts(reply)
                 attempts.update(started)
