Grant no lease to a worker that is being declared lost

Cause: a report that came between the decision that a worker is lost and its commit, or a result that was committed just before it, renewed the lease; the tasks ran on there while they were placed again elsewhere. Change: while a loss is not committed, a report registers the worker anew, in the log after the loss, so that its reply stops the attempts; a reply that is due before is refused as stale_term. Result: test_a_report_beside_its_loss_does_not_renew_the_lease and test_a_result_beside_a_loss_does_not_renew_the_lease failed before (no stop in the reply, nothing was raised) and pass.

--- a/programs/scheduler/src/cassiahold/scheduler/control_loop.py
+++ b/programs/scheduler/src/cassiahold/scheduler/control_loop.py
@@ -47,7 +47,7 @@
         self._next_plan_at = 0.0
         self._next_prune_at = 0.0
         # Workers declared lost by a command that may not be committed yet.
-        self._pending_losses: set[WorkerId] = set()
+        self._is_departed_by_pending_loss: dict[WorkerId, bool] = {}
 
     def due_commands(self, now: float) -> list[commands.SchedulerCommand]:
         """Return the commands to propose now."""
@@ -60,9 +60,25 @@
         commands_due.extend(self._plan_starts(now))
         return commands_due
 
-    def record_report(self, worker: WorkerId) -> None:
-        """Allow a worker that reports again to be declared lost anew."""
-        self._pending_losses.discard(worker)
+    def is_loss_pending(self, worker: WorkerId) -> bool:
+        """Tell whether a worker is being declared lost.
+
+        It must not get a lease before that has been committed: its tasks are
+        then placed elsewhere.
+        """
+        return worker in self._is_departed_by_pending_loss
+
+    def record_applied(self) -> None:
+        """Note which declared losses the last command has committed."""
+        self._is_departed_by_pending_loss = {
+            worker: is_departed
+            for worker, is_departed in self._is_departed_by_pending_loss.items()
+            if not self._is_committed(worker, is_departed=is_departed)
+        }
+
+    def _is_committed(self, worker: WorkerId, *, is_departed: bool) -> bool:
+        record = self._state.worker_by_id.get(worker)
+        return record is None or (record.is_lost and not is_departed)
 
     def _expire_tasks(self) -> typing.Iterator[commands.ExpireTasks]:
         deadlines = self._projection.deadline_heap
@@ -79,7 +95,7 @@
         lapsed = [
             worker
             for worker in self._sessions.lapsed_workers(now)
-            if worker not in self._pending_losses
+            if worker not in self._is_departed_by_pending_loss
         ]
         lost, departed = [], []
         for worker in lapsed:
@@ -92,7 +108,9 @@
                 lost.append(worker)
         for workers, is_departed in ((lost, False), (departed, True)):
             if workers:
-                self._pending_losses.update(workers)
+                self._is_departed_by_pending_loss.update(
+                    dict.fromkeys(workers, is_departed)
+                )
                 logs.warning(
                     'workers_lost',
                     centre=self._data_centre,
--- a/programs/scheduler/src/cassiahold/scheduler/service.py
+++ b/programs/scheduler/src/cassiahold/scheduler/service.py
@@ -12,7 +12,7 @@
 
 from cassiahold.agreement.replica import DeferredReply, Proposal
 from cassiahold.cellstate import scheduler_commands as commands
-from cassiahold.cellstate.jobs import JobRecord, JobSpec
+from cassiahold.cellstate.jobs import JobRecord, JobSpec, WorkerRecord
 from cassiahold.cellstate.outcomes import SubmitOutcome
 from cassiahold.cellstate.scheduler_state import SchedulerState
 from cassiahold.cellstate.worker_crashes import AttemptEvidence
@@ -24,6 +24,7 @@
     GatewayId,
     JobId,
     TeamName,
+    WorkerId,
 )
 from cassiahold.core.metrics import Metrics
 from cassiahold.core.states import CommandKind
@@ -93,6 +94,7 @@
             self.state.pop_effects()
         else:
             self._leader.projection.apply_effects(time.monotonic())
+            self._leader.control_loop.record_applied()
         return outcome
 
     def snapshot(self) -> bytes:
@@ -327,7 +329,8 @@
         if registered is None or registered.is_lost:
             return True
         return (
-            registered.incarnation != report.incarnation
+            self._leader_state().control_loop.is_loss_pending(report.worker)
+            or registered.incarnation != report.incarnation
             or registered.capacity != report.capacity
             or registered.worker_class != report.worker_class
             or registered.rack != report.rack
@@ -342,20 +345,16 @@
     ) -> messages.WorkerReportReply:
         leader = self._leader_state()
         timing = self._settings.cell.timing
-        leader.control_loop.record_report(report.worker)
+        record = self._registered_worker(report.worker)
         leader.sessions.renew_lease(report.worker, time.monotonic())
-        record = self.state.worker_by_id.get(report.worker)
-        worker_commands = (
-            leader.report_processor.commands_for(report, record, session)
-            if record
-            else []
+        worker_commands = leader.report_processor.commands_for(
+            report, record, session
+        )
+        session.record_starts(
+            _started_attempts(worker_commands),
+            record.allocation_by_attempt,
+            time.monotonic(),
         )
-        if record:
-            session.record_starts(
-                _started_attempts(worker_commands),
-                record.allocation_by_attempt,
-                time.monotonic(),
-            )
         ended_ids = [ended.attempt for ended in report.ended]
         return messages.WorkerReportReply(
             leader.term,
@@ -367,6 +366,24 @@
             ended_ids if confirms_results else [],
         )
 
+    def _registered_worker(self, worker: WorkerId) -> WorkerRecord:
+        """Return a worker that may get a lease.
+
+        Raises ``STALE_TERM`` for one that was declared lost since its report.
+        """
+        record = self.state.worker_by_id.get(worker)
+        control_loop = self._leader_state().control_loop
+        if (
+            record is None
+            or record.is_lost
+            or control_loop.is_loss_pending(worker)
+        ):
+            raise CassiaholdError(
+                ErrorKind.STALE_TERM,
+                f'worker {worker!r} was declared lost since its report',
+            )
+        return record
+
     def _reply_after_refill(
         self, report: messages.WorkerReport, session: WorkerSession
     ) -> messages.WorkerReportReply | DeferredReply:
--- a/programs/scheduler/tests/test_held_work.py
+++ b/programs/scheduler/tests/test_held_work.py
@@ -1,15 +1,19 @@
 """Tests of work that would be held by a belief that nothing corrects."""
 
 from leader_driver import (
+    LEASE_BOUND_S,
+    ended_attempt,
+    running_attempt,
     running_leader,
 )
 
+from cassiahold.core.exceptions import ErrorKind
 from cassiahold.core.ids import AttemptId, WorkerId
 from cassiahold.core.states import (
     CommandKind,
     JobOutcome,
 )
-from cassiahold.core.testing import function_tests
+from cassiahold.core.testing import expect_error, function_tests
 from cassiahold.wire import messages
 
 
@@ -49,4 +53,37 @@
         assert not started(driver.report())
 
 
+def test_a_report_beside_its_loss_does_not_renew_the_lease() -> None:
+    with running_leader(workers=1) as driver:
+        driver.submit()
+        driver.advance()
+        [attempt] = started(driver.report())
+        running = [running_attempt(attempt, 1)]
+        driver.now += LEASE_BOUND_S + 0.5
+        undecided = driver.service.due_commands(driver.now)
+        result = driver.handle_report(running=running)
+        for payload in undecided:
+            driver.service.apply(payload)
+        # The loss is decided before this report, so the attempt must stop.
+        assert stopped(driver.finish(result)) == [attempt]
+
+
+def test_a_result_beside_a_loss_does_not_renew_the_lease() -> None:
+    with running_leader(workers=1) as driver:
+        driver.submit(tasks=2)
+        driver.advance()
+        attempts = started(driver.report())
+        result = driver.handle_report(
+            running=[running_attempt(attempts[1], 1)],
+            ended=[ended_attempt(attempts[0])],
+        )
+        driver.now += LEASE_BOUND_S + 0.5
+        undecided = driver.service.due_commands(driver.now)
+        expect_error(ErrorKind.STALE_TERM, lambda: driver.finish(result))
+        for payload in undecided:
+            driver.service.apply(payload)
+        reply = driver.report(running=[running_attempt(attempts[1], 1)])
+        assert stopped(reply) == [attempts[1]]
+
+
 load_tests = function_tests(globals())
