Queue a gang again when its last running member has ended

Cause: the waiting members of a gang were queued only when a member began to wait. When the last running one ended otherwise, for example done before its stop arrived, nothing queued them until the next leader. Change: the end of any member queues those that wait.

--- a/programs/scheduler/src/cassiahold/scheduler/planner_projection.py
+++ b/programs/scheduler/src/cassiahold/scheduler/planner_projection.py
@@ -84,6 +84,17 @@
         else:
             self.queue_task(job, index, now)
 
+    def queue_gang_after_end(self, job: JobId, index: int, now: float) -> None:
+        """Queue the members that waited for a member which has now ended.
+
+        A member that itself waits again is queued after its backoff.
+        """
+        record = self._state.job_by_id.get(job)
+        if record is None or record.spec.kind is not JobKind.GANG:
+            return
+        if record.tasks[index].state is not TaskState.WAITING:
+            self.queue_task(job, index, now)
+
     def _queue_waiting_task(
         self, record: JobRecord, index: int, now: float
     ) -> None:
@@ -343,6 +354,7 @@
     effect: effects.AttemptEnded, projection: PlannerProjection, now: float
 ) -> None:
     projection.release_task(effect.job, effect.index)
+    projection.queue_gang_after_end(effect.job, effect.index, now)
 
 
 @_apply_effect.register
--- a/programs/scheduler/tests/test_held_work.py
+++ b/programs/scheduler/tests/test_held_work.py
@@ -11,6 +11,7 @@
 from cassiahold.core.ids import AttemptId, WorkerId
 from cassiahold.core.states import (
     CommandKind,
+    JobKind,
     JobOutcome,
 )
 from cassiahold.core.testing import expect_error, function_tests
@@ -86,4 +87,20 @@
         assert stopped(reply) == [attempts[1]]
 
 
+def test_a_gang_waits_for_no_member_that_has_ended() -> None:
+    with running_leader(workers=2) as driver:
+        job = driver.submit(tasks=2, kind=JobKind.GANG, cores=3.0)
+        driver.advance()
+        [first] = started(driver.report('w0'))
+        [second] = started(driver.report('w1'))
+        assert first != second
+        driver.report('w1', running=[running_attempt(second, 1)])
+        driver.crash('w0')
+        # Its end crosses the order to stop.
+        driver.report('w1', ended=[ended_attempt(second)])
+        driver.advance()
+        assert started(driver.report('w0')) + started(driver.report('w1'))
+        assert driver.outcome(job) is JobOutcome.STILL_RUNNING
+
+
 load_tests = function_tests(globals())
