End an attempt that its worker no longer reports

Cause: a worker whose own lease lapses stops its attempts without an end to report. Back before the leader counts the lease as expired, it was told to start the same attempt for ever, and starts each attempt at most once. Change: an attempt that the incarnation has listed and that a later report lists neither as running nor as ended has ended as stopped. Result: test_an_attempt_that_a_worker_no_longer_reports_is_ended failed before (the same start in each reply) and passes.

--- a/programs/scheduler/src/cassiahold/scheduler/service.py
+++ b/programs/scheduler/src/cassiahold/scheduler/service.py
@@ -42,6 +42,7 @@
 from cassiahold.scheduler.handlers import dispatch_request, propose
 from cassiahold.scheduler.planner_projection import PlannerProjection
 from cassiahold.scheduler.sessions import SessionTable, WorkerSession
+from cassiahold.scheduler.unlisted_attempts import unlisted_results
 from cassiahold.scheduler.worker_reports import ReportProcessor
 from cassiahold.wire import messages
 
@@ -289,8 +290,7 @@
                 f'report {report.sequence} of worker {report.worker!r} '
                 f'arrived after report {session.sequence}',
             )
-        session.incarnation = report.incarnation
-        session.sequence = report.sequence
+        session.begin_report(report.incarnation, report.sequence)
         if self._must_register(report):
             return propose(
                 _register_command(report, self._evidence(report, session)),
@@ -299,6 +299,11 @@
         session.alive_at = now
         leader.report_processor.record_usage(report, session, now)
         results = leader.report_processor.new_results(report, now)
+        results += unlisted_results(report, session, self.state)
+        session.record_listed(
+            [running.attempt for running in report.running],
+            self.state.worker_by_id[report.worker].allocation_by_attempt,
+        )
         if results:
             return propose(
                 commands.EndTasks(results, time.time()),
--- a/programs/scheduler/src/cassiahold/scheduler/sessions.py
+++ b/programs/scheduler/src/cassiahold/scheduler/sessions.py
@@ -14,7 +14,8 @@
     ``escalation_by_attempt`` counts reports in a row about an attempt that
     overuses its allocation or must stop.  ``alive_at`` is when the registered
     incarnation last reported.  ``inherited_attempts`` were allocated when this
-    leader started, so that an earlier one may have sent their starts.
+    leader started, so that an earlier one may have sent their starts, and
+    ``listed_attempts`` those that the incarnation has reported as running.
     """
 
     lease_expires_at: float
@@ -30,6 +31,25 @@
     sent_at_by_attempt: dict[AttemptId, float] = msgspec.field(
         default_factory=dict
     )
+    listed_attempts: set[AttemptId] = msgspec.field(default_factory=set)
+
+    def begin_report(self, incarnation: int, sequence: int) -> None:
+        """Record the number of a report; a new incarnation runs nothing."""
+        if incarnation != self.incarnation:
+            self.listed_attempts.clear()
+        self.incarnation = incarnation
+        self.sequence = sequence
+
+    def record_listed(
+        self,
+        running: typing.Iterable[AttemptId],
+        allocated: typing.Container[AttemptId],
+    ) -> None:
+        """Record the attempts that a report lists as running."""
+        self.listed_attempts.update(running)
+        self.listed_attempts = {
+            attempt for attempt in self.listed_attempts if attempt in allocated
+        }
 
     def sent_at(self, attempt: AttemptId) -> float:
         """Return when a start was last sent by this leader."""
--- a/programs/scheduler/tests/test_held_work.py
+++ b/programs/scheduler/tests/test_held_work.py
@@ -103,4 +103,16 @@
         assert driver.outcome(job) is JobOutcome.STILL_RUNNING
 
 
+def test_an_attempt_that_a_worker_no_longer_reports_is_ended() -> None:
+    with running_leader(workers=1) as driver:
+        driver.submit()
+        driver.advance()
+        [first] = started(driver.report())
+        driver.report(running=[running_attempt(first, 1)])
+        driver.advance()
+        assert first not in started(driver.report())
+        driver.advance()
+        assert started(driver.report()) not in ([], [first])
+
+
 load_tests = function_tests(globals())
