Take back a start that a worker never confirms

Cause: a start was repeated in each reply until the worker listed the attempt. A worker that has run it under an earlier leader, and stopped it when its lease lapsed, starts it no second time, and so held the task for ever. Change: after 30 s of starts that no report lists, the attempt has ended as stopped; work that is not idempotent may have run. Result: test_a_start_that_a_worker_never_confirms_is_taken_back failed before (the same start for 100 s) and passes.

--- a/programs/scheduler/src/cassiahold/scheduler/service.py
+++ b/programs/scheduler/src/cassiahold/scheduler/service.py
@@ -299,7 +299,7 @@
         session.alive_at = now
         leader.report_processor.record_usage(report, session, now)
         results = leader.report_processor.new_results(report, now)
-        results += unlisted_results(report, session, self.state)
+        results += unlisted_results(report, session, self.state, now)
         session.record_listed(
             [running.attempt for running in report.running],
             self.state.worker_by_id[report.worker].allocation_by_attempt,
--- a/programs/scheduler/src/cassiahold/scheduler/sessions.py
+++ b/programs/scheduler/src/cassiahold/scheduler/sessions.py
@@ -8,6 +8,16 @@
 from cassiahold.core.ids import AttemptId, WorkerId
 
 
+class StartTimes(msgspec.Struct, frozen=True):
+    """When this leader first and last sent the start of an attempt."""
+
+    first_at: float = math.inf
+    last_at: float = -math.inf
+
+
+_NEVER: typing.Final = StartTimes()
+
+
 class WorkerSession(msgspec.Struct):
     """One worker's lease and newest report, since this leader's start.
 
@@ -28,7 +38,7 @@
     )
     alive_at: float = -math.inf
     inherited_attempts: frozenset[AttemptId] = frozenset()
-    sent_at_by_attempt: dict[AttemptId, float] = msgspec.field(
+    start_times_by_attempt: dict[AttemptId, StartTimes] = msgspec.field(
         default_factory=dict
     )
     listed_attempts: set[AttemptId] = msgspec.field(default_factory=set)
@@ -51,14 +61,18 @@
             attempt for attempt in self.listed_attempts if attempt in allocated
         }
 
+    def start_times(self, attempt: AttemptId) -> StartTimes:
+        """Return when this leader sent the start of an attempt."""
+        return self.start_times_by_attempt.get(attempt, _NEVER)
+
     def sent_at(self, attempt: AttemptId) -> float:
         """Return when a start was last sent by this leader."""
-        return self.sent_at_by_attempt.get(attempt, -math.inf)
+        return self.start_times(attempt).last_at
 
     def may_have_started(self, attempt: AttemptId) -> bool:
         """Tell whether this leader or an earlier one may have sent a start."""
         return (
-            attempt in self.sent_at_by_attempt
+            attempt in self.start_times_by_attempt
             or attempt in self.inherited_attempts
         )
 
@@ -69,12 +83,14 @@
         now: float,
     ) -> None:
         """Record the starts in a reply; forget attempts that have ended."""
-        self.sent_at_by_attempt = {
-            attempt: sent_at
-            for attempt, sent_at in self.sent_at_by_attempt.items()
+        self.start_times_by_attempt = {
+            attempt: times
+            for attempt, times in self.start_times_by_attempt.items()
             if attempt in allocated
         }
-        self.sent_at_by_attempt.update(dict.fromkeys(started, now))
+        for attempt in started:
+            first_at = min(self.start_times(attempt).first_at, now)
+            self.start_times_by_attempt[attempt] = StartTimes(first_at, now)
 
 
 class SessionTable:
--- a/programs/scheduler/src/cassiahold/scheduler/unlisted_attempts.py
+++ b/programs/scheduler/src/cassiahold/scheduler/unlisted_attempts.py
@@ -2,7 +2,9 @@
 
 A worker reads a reply only as the answer to its newest report, and lists each
 attempt that it runs.  So an attempt that it listed before has ended, for
-example with its lease.
+example with its lease.  One that it never lists, although it has been told to
+start it for long, is taken back: the worker may have run it under an earlier
+leader.
 """
 
 import typing
@@ -15,19 +17,33 @@
 from cassiahold.scheduler.sessions import WorkerSession
 from cassiahold.wire.messages import WorkerReport
 
+# A worker starts an attempt at most once, so that repeated starts may have no
+# effect.
+START_TIMEOUT_S: typing.Final = 30.0
+
 
 def unlisted_results(
-    report: WorkerReport, session: WorkerSession, state: SchedulerState
+    report: WorkerReport,
+    session: WorkerSession,
+    state: SchedulerState,
+    now: float,
 ) -> list[commands.AttemptResult]:
     """Return the results of attempts that have ended without a report."""
     worker = state.worker_by_id[report.worker]
     return [
         _result(state, worker.allocation_by_attempt[attempt])
         for attempt in _unlisted_attempts(report, worker)
-        if attempt in session.listed_attempts
+        if _has_ended(attempt, session, now)
     ]
 
 
+def _has_ended(attempt: AttemptId, session: WorkerSession, now: float) -> bool:
+    sent_at = session.start_times(attempt).first_at
+    return (
+        attempt in session.listed_attempts or now - sent_at >= START_TIMEOUT_S
+    )
+
+
 def _unlisted_attempts(
     report: WorkerReport, worker: WorkerRecord
 ) -> typing.Iterator[AttemptId]:
--- a/programs/scheduler/tests/test_held_work.py
+++ b/programs/scheduler/tests/test_held_work.py
@@ -103,6 +103,20 @@
         assert driver.outcome(job) is JobOutcome.STILL_RUNNING
 
 
+def test_a_start_that_a_worker_never_confirms_is_taken_back() -> None:
+    with running_leader(workers=1) as driver:
+        driver.submit()
+        driver.advance()
+        [first] = started(driver.report())
+        # The worker stopped it when its lease lapsed and never starts it again.
+        for _ in range(100):
+            driver.advance(1.0)
+            reply = driver.report()
+            if started(reply) not in ([], [first]):
+                break
+        assert started(reply) not in ([], [first])
+
+
 def test_an_attempt_that_a_worker_no_longer_reports_is_ended() -> None:
     with running_leader(workers=1) as driver:
         driver.submit()
