Start no attempt of a job that is being stopped

Cause: the start of a cancelled job, of a gang that restarts or of a job given up was still sent, until its worker listed the attempt and could be told to stop it; a task that crashes workers so crashed one more. Change: an attempt that must stop and that a report does not list ends with that report, as never started when no leader can have sent its start. Result: test_an_attempt_of_a_cancelled_job_is_not_started and test_a_lost_start_order_of_a_cancelled_job_is_not_repeated failed before (the reply held a start) and pass.

--- a/libs/cellstate/src/cassiahold/cellstate/jobs.py
+++ b/libs/cellstate/src/cassiahold/cellstate/jobs.py
@@ -130,6 +130,11 @@
         """Tell whether no task may start and the running ones must stop."""
         return self.is_cancelled or self.is_given_up
 
+    @property
+    def must_stop_attempts(self) -> bool:
+        """Tell whether the running attempts must stop, for now or for good."""
+        return self.is_stopping or self.is_restarting
+
     @property
     def may_rerun(self) -> bool:
         """Tell whether a task may be placed again after it ran."""
--- a/programs/scheduler/src/cassiahold/scheduler/unlisted_attempts.py
+++ b/programs/scheduler/src/cassiahold/scheduler/unlisted_attempts.py
@@ -4,7 +4,7 @@
 attempt that it runs.  So an attempt that it listed before has ended, for
 example with its lease.  One that it never lists, although it has been told to
 start it for long, is taken back: the worker may have run it under an earlier
-leader.
+leader.  One that must stop is not started at all.
 """
 
 import typing
@@ -30,11 +30,13 @@
 ) -> list[commands.AttemptResult]:
     """Return the results of attempts that have ended without a report."""
     worker = state.worker_by_id[report.worker]
-    return [
-        _result(state, worker.allocation_by_attempt[attempt])
-        for attempt in _unlisted_attempts(report, worker)
-        if _has_ended(attempt, session, now)
-    ]
+    results = []
+    for attempt in _unlisted_attempts(report, worker):
+        allocation = worker.allocation_by_attempt[attempt]
+        must_stop = state.job_by_id[allocation.job].must_stop_attempts
+        if must_stop or _has_ended(attempt, session, now):
+            results.append(_result(attempt, allocation, session, state))
+    return results
 
 
 def _has_ended(attempt: AttemptId, session: WorkerSession, now: float) -> bool:
@@ -55,13 +57,18 @@
 
 
 def _result(
-    state: SchedulerState, allocation: Allocation
+    attempt: AttemptId,
+    allocation: Allocation,
+    session: WorkerSession,
+    state: SchedulerState,
 ) -> commands.AttemptResult:
     task = state.job_by_id[allocation.job].tasks[allocation.index]
     return commands.AttemptResult(
         allocation.job,
         allocation.index,
         task.attempt,
-        AttemptOutcome.STOPPED,
+        AttemptOutcome.STOPPED
+        if session.may_have_started(attempt)
+        else AttemptOutcome.NEVER_STARTED,
         'its worker does not report it',
     )
--- a/programs/scheduler/src/cassiahold/scheduler/worker_reports.py
+++ b/programs/scheduler/src/cassiahold/scheduler/worker_reports.py
@@ -111,7 +111,7 @@
         """Return the commands for a worker's attempts.
 
         Attempts that the state does not know are stopped, and those that
-        the worker does not report are started.
+        the worker does not report are started, unless they must stop.
         """
         running_ids = {running.attempt for running in report.running}
         ended_ids = {ended.attempt for ended in report.ended}
@@ -124,14 +124,15 @@
             if attempt in ended_ids:
                 continue
             record = self._state.job_by_id[allocation.job]
-            if attempt not in running_ids:
+            is_running = attempt in running_ids
+            if is_running and record.must_stop_attempts:
+                worker_commands.append(WorkerCommand(CommandKind.STOP, attempt))
+            elif not is_running and not record.must_stop_attempts:
                 worker_commands.append(
                     self._start_command(
                         attempt, record, allocation.index, worker
                     )
                 )
-            elif record.is_stopping or record.is_restarting:
-                worker_commands.append(WorkerCommand(CommandKind.STOP, attempt))
         worker_commands.extend(self._enforcement_commands(report, session))
         return worker_commands
 
--- a/programs/scheduler/tests/test_held_work.py
+++ b/programs/scheduler/tests/test_held_work.py
@@ -2,6 +2,7 @@
 
 from leader_driver import (
     LEASE_BOUND_S,
+    RED,
     ended_attempt,
     running_attempt,
     running_leader,
@@ -129,4 +130,23 @@
         assert started(driver.report()) not in ([], [first])
 
 
+def test_an_attempt_of_a_cancelled_job_is_not_started() -> None:
+    with running_leader(workers=1) as driver:
+        job = driver.submit()
+        driver.advance()
+        driver.send(messages.Cancel([job], RED))
+        assert not driver.report().commands
+        assert driver.outcome(job) is JobOutcome.CANCELLED
+
+
+def test_a_lost_start_order_of_a_cancelled_job_is_not_repeated() -> None:
+    with running_leader(workers=1) as driver:
+        job = driver.submit()
+        driver.advance()
+        assert started(driver.report())
+        driver.send(messages.Cancel([job], RED))
+        assert not driver.report().commands
+        assert driver.outcome(job) is JobOutcome.CANCELLED
+
+
 load_tests = function_tests(globals())
