Expire tasks that begin to wait again after their deadline

Cause: a leader looked at a deadline once; a task that ran then, and waited again later, did not expire under that leader, but did under the next. Change: a task that begins to wait again has the deadline of its job checked again; services are left out, since they are restarted whenever they end. Result: test_a_task_lost_after_its_deadline_expires failed before (the job was still_running) and passes.

--- a/programs/scheduler/src/cassiahold/scheduler/planner_projection.py
+++ b/programs/scheduler/src/cassiahold/scheduler/planner_projection.py
@@ -77,7 +77,18 @@
             self._queue_waiting_task(record, gang_index, now)
 
     def queue_after_backoff(self, job: JobId, index: int, now: float) -> None:
-        """Queue a task at once, or after its backoff if one is set."""
+        """Queue a task at once, or after its backoff if one is set.
+
+        The deadline may have passed while the task ran, and then counts anew;
+        services are restarted whenever they end.
+        """
+        record = self._state.job_by_id.get(job)
+        if (
+            record is not None
+            and record.tasks[index].attempt
+            and record.spec.kind is not JobKind.SERVICE
+        ):
+            self.add_deadline(record)
         backoff_s = self._backoff_s_by_task.pop(task_key(job, index), 0.0)
         if backoff_s > 0:
             heapq.heappush(self._delayed_heap, (now + backoff_s, job, index))
--- a/programs/scheduler/tests/test_held_work.py
+++ b/programs/scheduler/tests/test_held_work.py
@@ -149,4 +149,17 @@
         assert driver.outcome(job) is JobOutcome.CANCELLED
 
 
+def test_a_task_lost_after_its_deadline_expires() -> None:
+    with running_leader(workers=1) as driver:
+        job = driver.submit(deadline_s=5.0)
+        driver.advance()
+        [attempt] = started(driver.report())
+        for _ in range(6):
+            driver.advance()
+            driver.report(running=[running_attempt(attempt, 1)])
+        driver.report(leaving=True, running=[running_attempt(attempt, 1)])
+        driver.advance(LEASE_BOUND_S + 1.0)
+        assert driver.outcome(job) is JobOutcome.MAY_HAVE_RUN
+
+
 load_tests = function_tests(globals())
