Record a departure that comes with results or a registration

Cause: a report in which a worker says that it is leaving was answered without recording that when it also held results or registered the worker; the worker had been told, restarted, and was charged with a crash. Change: the commands that such a report produces carry the departure.

--- a/libs/cellstate/src/cassiahold/cellstate/scheduler_commands.py
+++ b/libs/cellstate/src/cassiahold/cellstate/scheduler_commands.py
@@ -69,6 +69,8 @@
 
     results: list[AttemptResult]
     ended_at: float
+    # The worker that reports them, if it says that it is leaving.
+    leaving_worker: WorkerId | None = None
 
 
 class CancelJobs(msgspec.Struct, frozen=True, array_like=True, tag='cancel'):
@@ -103,6 +105,7 @@
     registered_at: float
     # Against the attempts of the earlier incarnation, if this is a new one.
     evidence_by_attempt: dict[AttemptId, AttemptEvidence] | None = None
+    is_leaving: bool = False
 
 
 class MarkWorkersLost(msgspec.Struct, frozen=True, array_like=True, tag='lose'):
--- a/libs/cellstate/src/cassiahold/cellstate/scheduler_state.py
+++ b/libs/cellstate/src/cassiahold/cellstate/scheduler_state.py
@@ -239,6 +239,13 @@
                 command.ended_at,
             )
 
+        if command.leaving_worker is not None:
+            self.drain_worker(
+                commands.DrainWorker(
+                    command.leaving_worker, is_draining=True, is_leaving=True
+                )
+            )
+
     def cancel(self, command: commands.CancelJobs) -> list[CancelOutcome]:
         """Cancel jobs.
 
@@ -281,6 +288,7 @@
             command.worker_class,
             command.rack,
             command.speed,
+            is_leaving=command.is_leaving,
         )
         if existing is not None:
             updated.is_draining = existing.is_draining
--- a/programs/scheduler/src/cassiahold/scheduler/service.py
+++ b/programs/scheduler/src/cassiahold/scheduler/service.py
@@ -306,7 +306,11 @@
         )
         if results:
             return propose(
-                commands.EndTasks(results, time.time()),
+                commands.EndTasks(
+                    results,
+                    time.time(),
+                    report.worker if report.leaving else None,
+                ),
                 lambda _: self._reply_after_refill(report, session),
             )
         record = self.state.worker_by_id[report.worker]
@@ -559,4 +563,5 @@
         report.speed,
         time.time(),
         evidence_by_attempt,
+        report.leaving,
     )
--- a/programs/scheduler/tests/test_crashing_tasks.py
+++ b/programs/scheduler/tests/test_crashing_tasks.py
@@ -12,6 +12,7 @@
 )
 
 from cassiahold.core.ids import AttemptId, JobId
+from cassiahold.core.resources import Resources
 from cassiahold.core.states import CommandKind, JobOutcome
 from cassiahold.core.testing import function_tests
 from cassiahold.wire import messages
@@ -241,4 +242,30 @@
         assert 'may crash their workers' in why(driver, guilty)
 
 
+def test_a_departure_told_with_a_result_is_no_crash() -> None:
+    with running_leader(workers=1) as driver:
+        job = driver.submit(tasks=2)
+        driver.advance()
+        first, second = started_attempts(driver.report())
+        driver.report(
+            ended=[ended_attempt(first)],
+            running=[running_attempt(second, 1)],
+            leaving=True,
+        )
+        driver.crash()
+        assert 'crashed' not in why(driver, job)
+
+
+def test_a_departure_told_at_a_registration_is_no_crash() -> None:
+    with running_leader(workers=1) as driver:
+        job = driver.submit()
+        driver.advance()
+        [attempt] = started_attempts(driver.report())
+        running = [running_attempt(attempt, 1)]
+        smaller = Resources(2000, 8000, 0)
+        driver.report(running=running, leaving=True, capacity=smaller)
+        driver.crash()
+        assert 'crashed' not in why(driver, job)
+
+
 load_tests = function_tests(globals())
