Let stand-in workers crash under a task

Cause: no stand-in of tools/fakes could crash, so the demo and the fault runs could not show work that crashes its workers. Change: a task whose payload says crashes_worker ends its worker when its run time is over: all attempts end without a report, the worker is silent for restart_s and then reports in a new incarnation.

--- a/tools/fakes/src/cassiahold/fakes/worker.py
+++ b/tools/fakes/src/cassiahold/fakes/worker.py
@@ -1,7 +1,8 @@
 """A fake worker: it holds each attempt for a time instead of running it.
 
 The payload of a task is a small JSON object: ``run_s`` is how long it
-takes, ``fails`` makes it fail, ``cores_m`` and ``memory_mb`` are the usage
+takes, ``fails`` makes it fail, ``crashes_worker`` ends its worker with all
+attempts when that time is over, ``cores_m`` and ``memory_mb`` are the usage
 that the worker reports for it.  A payload that is not JSON runs for
 ``_DEFAULT_RUN_S``, a tenth of a second.
 """
@@ -20,12 +21,14 @@
 
 _DEFAULT_RUN_S: typing.Final = 0.1
 _READ_TIMEOUT_S: typing.Final = 5.0
+_DOWN_POLL_S: typing.Final = 0.1
 
 
 class WorkerPlan(msgspec.Struct, frozen=True):
     """The identity, capacity and behaviour of a fake worker.
 
-    ``speed`` divides the run time of every task.
+    ``speed`` divides the run time of every task; after a crash the worker is
+    back after ``restart_s``, in a new incarnation.
     """
 
     worker: str
@@ -37,6 +40,7 @@
     worker_class: str = ''
     speed: float = 1.0
     fails_everything: bool = False
+    restart_s: float = 3.0
 
 
 class AttemptCommand(msgspec.Struct):
@@ -80,6 +84,7 @@
     allocated_cores_m: int
     allocated_memory_mb: int
     allocated_accelerators: int
+    crashes_worker: bool = False
 
 
 class JournalEvent(msgspec.Struct):
@@ -109,7 +114,8 @@
 class FakeWorker:
     """A worker whose thread reports to the gateways and executes commands.
 
-    ``violations`` lists each time its allocations exceeded its capacity.
+    ``violations`` lists each time its allocations exceeded its capacity;
+    ``crash_count`` tells how often it has crashed.
     """
 
     def __init__(
@@ -133,6 +139,8 @@
         self._known_attempts: set[str] = set()
         self._random = random.Random(plan.worker)
         self._stopped = threading.Event()
+        self._back_at = float('-inf')
+        self.crash_count = 0
         self.is_leaving = False
         self.violations: list[str] = []
         self._thread = threading.Thread(
@@ -147,6 +155,31 @@
         """Stop reporting without deregistering; the lease expires later."""
         self._stopped.set()
 
+    def crash(self, now: float) -> None:
+        """End without a report, and with all attempts, as a process does.
+
+        The worker then reports in a new incarnation that knows of none.
+        """
+        for attempt in self._attempt_by_id:
+            self._write_event(
+                JournalEvent(
+                    time.time(), self.plan.worker, attempt, 'end crashed'
+                )
+            )
+        self._attempt_by_id.clear()
+        self._ended_by_id.clear()
+        self._known_attempts.clear()
+        self._incarnation = time.time_ns()
+        self._sequence = 0
+        self._term = 0
+        self._lease_expires_at = float('-inf')
+        self._back_at = now + self.plan.restart_s
+        self.crash_count += 1
+
+    def is_down(self, now: float) -> bool:
+        """Tell whether the worker has crashed and is not back yet."""
+        return now < self._back_at
+
     @property
     def running_count(self) -> int:
         """Return the number of attempts in progress."""
@@ -156,6 +189,9 @@
         pause_s = self._random.random()
         while not self._stopped.wait(pause_s):
             self._end_due_attempts(time.monotonic())
+            if self.is_down(time.monotonic()):
+                pause_s = _DOWN_POLL_S
+                continue
             pause_s = self._send_report()
             self._stop_if_lease_expired(time.monotonic())
 
@@ -260,6 +296,7 @@
                 command.cores_m,
                 command.memory_mb,
                 command.accelerators,
+                crashes_worker=bool(task.get('crashes_worker')),
             )
         self._write_event(
             JournalEvent(
@@ -287,6 +324,9 @@
 
     def _end_due_attempts(self, now: float) -> None:
         for attempt in list(self._attempt_by_id.values()):
+            if now >= attempt.ends_at and attempt.crashes_worker:
+                self.crash(now)
+                return
             if now >= attempt.ends_at:
                 outcome = (
                     AttemptOutcome.FAILED
