Reserve other workers for a gang when a reserved one is gone

Cause: a reservation was kept for up to 600 s although one of its workers was lost, drained, quarantined or removed; the gang could not fit on the others, and these stayed idle for it. Change: such a reservation is released, and other workers are chosen in the same round. Result: test_a_gang_does_not_wait_for_a_reserved_worker_that_is_gone failed before (the lost worker was still among the reserved ones) and passes.

--- a/libs/policy/src/cassiahold/policy/reservations.py
+++ b/libs/policy/src/cassiahold/policy/reservations.py
@@ -97,11 +97,16 @@
                 self._worker_pool.reindex(worker)
 
     def release_expired(self, waiting_jobs: WaitingJobs, now: float) -> None:
-        """Release reservations that expired or whose job no longer waits."""
+        """Release reservations that cannot help their job any more.
+
+        They have expired, their job no longer waits, or one of their workers
+        is gone or gets no tasks, so that other workers must be chosen.
+        """
         for reservation in list(self.reservation_by_job.values()):
             if (
                 now >= reservation.expires_at
                 or reservation.job not in waiting_jobs.job_by_id
+                or not all(map(self._is_usable, reservation.workers))
             ):
                 self.release(reservation.job)
 
@@ -123,6 +128,10 @@
             map(self._expected_ready_at, self.reservation_by_job.values())
         )
 
+    def _is_usable(self, worker_id: WorkerId) -> bool:
+        worker = self._worker_pool.worker_by_id.get(worker_id)
+        return worker is not None and worker.is_usable
+
     def _has_gang_reservation(self) -> bool:
         return any(
             reservation.is_gang
--- a/libs/policy/src/cassiahold/policy/workers.py
+++ b/libs/policy/src/cassiahold/policy/workers.py
@@ -85,13 +85,18 @@
     @property
     def accepts_attempts(self) -> bool:
         """Tell whether a task on trial may start if it fits."""
-        if self.state not in _ELIGIBLE_STATES:
+        if not self.is_usable:
             return False
         return (
             self.concurrency_limit is None
             or len(self.allocation_by_key) < self.concurrency_limit
         )
 
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether the worker gets tasks at all."""
+        return self.state in _ELIGIBLE_STATES
+
     def fits(self, shape: TaskShape) -> bool:
         """Tell whether a task of the shape fits in the free capacity."""
         return (
--- a/libs/policy/tests/test_planner.py
+++ b/libs/policy/tests/test_planner.py
@@ -16,7 +16,7 @@
 )
 
 from cassiahold.core.exceptions import InvariantError
-from cassiahold.core.ids import TeamName, WorkerId
+from cassiahold.core.ids import JobId, TeamName, WorkerId
 from cassiahold.core.resources import Resources
 from cassiahold.core.states import JobKind
 from cassiahold.core.testing import function_tests
@@ -113,6 +113,28 @@
     assert not planner.reservations.reservation_by_job
 
 
+def test_a_gang_does_not_wait_for_a_reserved_worker_that_is_gone() -> None:
+    name = JobId('gang')
+    for state in (WorkerState.LOST, WorkerState.DRAINING, None):
+        planner = new_planner(workers=3)
+        submit(planner, 'small', 12)
+        planner.plan(0.0)
+        submit(planner, name, 8, BLUE, waiting_since=0.0, kind=JobKind.GANG)
+        planner.plan(11.0)
+        gone = planner.reservations.reservation_by_job[name].workers[0]
+        worker = planner.worker_pool.worker_by_id[gone]
+        if state is None:
+            planner.worker_pool.remove(gone)
+        else:
+            worker.state = state
+            planner.worker_pool.reindex(worker)
+        planner.plan(12.0)
+        reserved = planner.reservations.reservation_by_job[name]
+        assert gone not in reserved.workers
+        assert len(reserved.workers) == 2
+        assert worker.reserved_for == '' or state is None
+
+
 def test_two_gangs_never_have_a_reservation_each() -> None:
     planner = new_planner(workers=2)
     submit(planner, 'small', 8)
