Quarantine at most half of the workers at a time

Cause: each worker was judged alone. Bad jobs of two names that failed in a row on every worker quarantined all of them, for 30 s and up to an hour, and held all other work. Change: when more than half are quarantined, the oldest quarantine ends, and its worker is probed with one task; with a single worker nothing changes. All workers of a data centre count together, whatever their class. Result: test_bad_jobs_do_not_quarantine_every_worker failed before (four of four workers quarantined) and passes.

--- a/libs/policy/src/cassiahold/policy/failure_tracking.py
+++ b/libs/policy/src/cassiahold/policy/failure_tracking.py
@@ -2,10 +2,11 @@
 
 A worker is quarantined when several tasks fail on it in a row and the work is
 known to succeed elsewhere or differs in name; the quarantine doubles each
-time and ends with a single task as a probe.  Work that fails on several
-workers, at least one of them proven, is taken to be at fault itself.  Work is
-identified by team and job name.  Times are in seconds on the clock of the
-caller.
+time and ends with a single task as a probe.  Bad work of several names can
+fail in a row on every worker, so only a share of them is quarantined at a time.
+Work that fails on several workers, at least one of them proven, is taken to be
+at fault itself.  Work is identified by team and job name.  Times are in seconds
+on the clock of the caller.
 """
 
 import collections
@@ -23,6 +24,8 @@
 MIN_WORKERS_FOR_JOB_FAULT: typing.Final = 3
 FIRST_QUARANTINE_S: typing.Final = 30.0
 MAX_QUARANTINE_S: typing.Final = 3600.0
+# Of the workers of a data centre; at least one may be quarantined.
+MAX_QUARANTINED_SHARE: typing.Final = 0.5
 SUSPENSION_S: typing.Final = 5.0
 # A task that has run this long did not fail immediately.
 HEALTHY_START_S: typing.Final = 3.0
@@ -48,7 +51,8 @@
 class WorkerHistory(msgspec.Struct):
     """Trust in one worker and its failures since the last success.
 
-    ``excluded_until`` is when a suspension or quarantine ends.
+    ``excluded_until`` is when a suspension or quarantine ends, and
+    ``quarantined_at`` when the last quarantine began.
     """
 
     trust: WorkerTrust = WorkerTrust.UNPROVEN
@@ -59,6 +63,7 @@
     quarantine_count: int = 0
     excluded_until: float = 0
     rack: str = ''
+    quarantined_at: float = 0
 
 
 class _JobNameHistory(msgspec.Struct):
@@ -240,8 +245,23 @@
             MAX_QUARANTINE_S,
         )
         history.quarantine_count += 1
+        history.quarantined_at = now
         history.failure_streak = 0
         history.streak_job_names.clear()
+        self._bound_quarantines(now)
+
+    def _bound_quarantines(self, now: float) -> None:
+        """End the oldest quarantine when too many workers are quarantined."""
+        quarantined = [
+            history
+            for history in self.history_by_worker.values()
+            if history.trust is WorkerTrust.QUARANTINED
+            and now < history.excluded_until
+        ]
+        limit = int(len(self.history_by_worker) * MAX_QUARANTINED_SHARE)
+        if len(quarantined) > max(limit, 1):
+            oldest = min(quarantined, key=lambda each: each.quarantined_at)
+            oldest.excluded_until = now
 
     def _job_name_history(self, team: TeamName, name: str) -> _JobNameHistory:
         key = (team, name)
--- a/programs/scheduler/tests/test_held_work.py
+++ b/programs/scheduler/tests/test_held_work.py
@@ -3,6 +3,7 @@
 from leader_driver import (
     LEASE_BOUND_S,
     RED,
+    LeaderDriver,
     ended_attempt,
     running_attempt,
     running_leader,
@@ -11,6 +12,7 @@
 from cassiahold.core.exceptions import ErrorKind
 from cassiahold.core.ids import AttemptId, WorkerId
 from cassiahold.core.states import (
+    AttemptOutcome,
     CommandKind,
     JobKind,
     JobOutcome,
@@ -35,6 +37,21 @@
     ]
 
 
+def fail_starts(driver: LeaderDriver, rounds: int) -> None:
+    """Let every attempt that is started fail at once."""
+    for _ in range(rounds):
+        for number in range(4):
+            attempts = started(driver.report(f'w{number}'))
+            driver.report(
+                f'w{number}',
+                ended=[
+                    ended_attempt(attempt, AttemptOutcome.FAILED)
+                    for attempt in attempts
+                ],
+            )
+        driver.advance(0.5)
+
+
 def test_a_worker_that_left_and_returns_gets_work() -> None:
     with running_leader(workers=1) as driver:
         driver.report(leaving=True)
@@ -162,4 +179,16 @@
         assert driver.outcome(job) is JobOutcome.MAY_HAVE_RUN
 
 
+def test_bad_jobs_do_not_quarantine_every_worker() -> None:
+    with running_leader(workers=4) as driver:
+        for number in range(2):
+            driver.submit(f'bad{number}', tasks=20, name=f'bad{number}')
+        fail_starts(driver, rounds=40)
+        driver.submit('good', tasks=1, name='good')
+        fail_starts(driver, rounds=10)
+        status = driver.send(messages.GetStatus())
+        states = [worker.state for worker in status.workers]
+        assert states.count('quarantined') <= 2, states
+
+
 load_tests = function_tests(globals())
