Check with real processes that a crashing job is given up

The test of a running cell submits a task that crashes its stand-in worker: the job fails with the reason crashes after three to five starts, and why names each worker that crashed under it.

--- a/tools/bench/tests/test_processes.py
+++ b/tools/bench/tests/test_processes.py
@@ -19,7 +19,7 @@
 from cassiahold.client import CallerClient, Live, OperatorClient
 from cassiahold.config import Configuration, Limit, Queue, Service, Team
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
-from cassiahold.core.states import JobOutcome
+from cassiahold.core.states import FailureReason, JobOutcome
 from cassiahold.core.testing import expect_error, function_tests
 
 ROOT: typing.Final = pathlib.Path(__file__).parents[3]
@@ -206,6 +206,27 @@
     assert caller.wait(job.job, WAIT_TIMEOUT_S).outcome is JobOutcome.DONE
 
 
+def check_crashing_job(running: ConfiguredCell) -> None:
+    """A task that crashes each worker that starts it is given up."""
+    caller = running.open_caller()
+    payload = json.dumps({'run_s': 0.05, 'crashes_worker': True})
+    job = caller.submit(
+        {'queue': 'open', 'name': 'crashes', 'payload': payload},
+        timeout_s=WAIT_TIMEOUT_S,
+    )
+    status = caller.wait(job.job, WAIT_TIMEOUT_S)
+    assert status.outcome is JobOutcome.FAILED, status
+    assert status.reason is FailureReason.CRASHES
+    journal = EventJournal(running.cell.journal_folder)
+    starts = journal.starts_by_task()[f'{job.job}/0']
+    assert 3 <= len(starts) <= 5, starts
+    operator = OperatorClient(running.cell.gateways(), OPERATOR_KEY)
+    reasons = operator.why(job.job)['reasons']
+    operator.close()
+    for start in starts:
+        assert any(f'{start.worker!r} crashed' in line for line in reasons)
+
+
 def test_cell_survives_bad_requests_drains_kills_and_suspension() -> None:
     with start_cell() as running:
         check_bad_requests(running)
@@ -214,6 +235,7 @@
         check_drain_completes_requests(running)
         check_kills(running)
         check_suspended_leader(running)
+        check_crashing_job(running)
         journal = EventJournal(running.cell.journal_folder)
         assert not journal.violations_seen_by_fakes()
         assert not journal.concurrent_task_runs()
