Split the state of a scheduler group by job

Result: behaviour unchanged; the tests that force an invalid change call the ledger instead of the state and check the same.

--- a/libs/cellstate/tests/test_scheduling.py
+++ b/libs/cellstate/tests/test_scheduling.py
@@ -261,7 +261,7 @@
 def force_start(
     state: SchedulerState, job: JobId, worker: WorkerId = W1
 ) -> None:
-    state._start_attempt(commands.AttemptStart(job, 0, 1, worker, TASK))
+    state._tasks._start_attempt(commands.AttemptStart(job, 0, 1, worker, TASK))
 
 
 def test_each_invariant_is_checked_by_the_state() -> None:
@@ -284,7 +284,7 @@
     state.job_by_id[job].tasks[0].may_have_run = True
     assert_breaks_property(
         6,
-        lambda: state._set_task_state(
+        lambda: state._tasks.set_task_state(
             state.job_by_id[job], 0, TaskState.NOT_RUN, '', 0.0
         ),
     )
