End no attempt for a report that was sent to an earlier leader

Cause: a late report from before an attempt started, the first that a new leader received of its worker, did not list the attempt; of a gang that restarts or a cancelled job the attempt was taken as ended, and placed again while it ran. Change: what a new leader has inherited ends so only by a report with its term.

--- a/programs/scheduler/src/cassiahold/scheduler/unlisted_attempts.py
+++ b/programs/scheduler/src/cassiahold/scheduler/unlisted_attempts.py
@@ -5,6 +5,9 @@
 example with its lease.  One that it never lists, although it has been told to
 start it for long, is taken back: the worker may have run it under an earlier
 leader.  One that must stop is not started at all.
+
+A report that was sent to an earlier leader may arrive late, and tells nothing
+about attempts that this one has inherited.
 """
 
 import typing
@@ -26,12 +29,18 @@
     report: WorkerReport,
     session: WorkerSession,
     state: SchedulerState,
+    term: int,
     now: float,
 ) -> list[commands.AttemptResult]:
-    """Return the results of attempts that have ended without a report."""
+    """Return the results of attempts that have ended without a report.
+
+    ``term`` is that of the leader.
+    """
     worker = state.worker_by_id[report.worker]
     results = []
     for attempt in _unlisted_attempts(report, worker):
+        if report.term < term and attempt in session.inherited_attempts:
+            continue
         allocation = worker.allocation_by_attempt[attempt]
         must_stop = state.job_by_id[allocation.job].must_stop_attempts
         if must_stop or _has_ended(attempt, session, now):
--- a/programs/scheduler/src/cassiahold/scheduler/worker_requests.py
+++ b/programs/scheduler/src/cassiahold/scheduler/worker_requests.py
@@ -81,7 +81,9 @@
         session.alive_at = now
         leader.report_processor.record_usage(report, session, now)
         results = leader.report_processor.new_results(report, now)
-        results += unlisted_results(report, session, self._state, now)
+        results += unlisted_results(
+            report, session, self._state, leader.term, now
+        )
         session.record_listed(
             [running.attempt for running in report.running],
             self._state.worker_by_id[report.worker].allocation_by_attempt,
--- a/programs/scheduler/tests/test_held_work.py
+++ b/programs/scheduler/tests/test_held_work.py
@@ -191,4 +191,31 @@
         assert states.count('quarantined') <= 2, states
 
 
+def test_a_report_from_before_the_leader_ends_no_attempt() -> None:
+    with running_leader(workers=1) as driver:
+        job = driver.submit()
+        driver.advance()
+        [attempt] = started(driver.report())
+        running = [running_attempt(attempt, 1)]
+        driver.report(running=running, term=1)
+        driver.send(messages.Cancel([job], RED))
+        driver.change_leader(2)
+        # Sent before the start arrived, and late: the attempt runs.
+        driver.report(sequence=1, term=1)
+        assert driver.outcome(job) is JobOutcome.STILL_RUNNING
+        assert stopped(driver.report(running=running, term=2)) == [attempt]
+
+
+def test_an_attempt_of_an_earlier_leader_that_must_stop_is_ended() -> None:
+    with running_leader(workers=1) as driver:
+        job = driver.submit()
+        driver.advance()
+        assert started(driver.report())
+        driver.send(messages.Cancel([job], RED))
+        driver.change_leader(2)
+        driver.report(term=1)
+        driver.report(term=2)
+        assert driver.outcome(job) is JobOutcome.CANCELLED
+
+
 load_tests = function_tests(globals())
