Add a fault run with tasks that crash their workers

The machine 'crashing' is the scheduling machine with a task of every ninth job that ends its worker: no task crashes more than five workers, and after a while without faults no accepted job is open.

--- a/tools/bench/src/cassiahold/bench/faults/seed_runner.py
+++ b/tools/bench/src/cassiahold/bench/faults/seed_runner.py
@@ -12,6 +12,7 @@
 )
 
 from cassiahold.bench.faults.agreement import AgreementMachine
+from cassiahold.bench.faults.crashing import CrashingMachine
 from cassiahold.bench.faults.escrow import EscrowMachine
 from cassiahold.bench.faults.scheduling import SchedulingMachine
 from cassiahold.bench.faults.slots import SlotMachine
@@ -36,6 +37,7 @@
 
 MACHINE_BY_NAME: typing.Final[dict[str, type[RuleBasedStateMachine]]] = {
     'agreement': AgreementMachine,
+    'crashing': CrashingMachine,
     'escrow': EscrowMachine,
     'scheduling': SchedulingMachine,
     'slots': SlotMachine,
--- a/tools/bench/tests/test_fault_runs.py
+++ b/tools/bench/tests/test_fault_runs.py
@@ -10,9 +10,11 @@
 
 from cassiahold.agreement.node import RaftNode
 from cassiahold.bench.faults.seed_runner import run_examples, run_seed
+from cassiahold.cellstate import incarnations
 from cassiahold.cellstate.quotas import QuotaLedger
 from cassiahold.core.testing import function_tests
 from cassiahold.routing.ledger import SlotLedger
+from cassiahold.scheduler import worker_requests
 from cassiahold.scheduler.service import SchedulerService
 
 
@@ -38,6 +40,20 @@
     assert_no_violation('scheduling', (0, 1, 7))
 
 
+def test_tasks_that_crash_workers_are_given_up_and_hold_no_work() -> None:
+    assert_no_violation('crashing', range(6))
+
+
+def test_crashes_that_are_not_counted_are_detected() -> None:
+    with mock.patch.object(incarnations, 'count_crash', lambda *_: None):
+        assert has_violation('crashing', range(6))
+
+
+def test_a_start_that_is_never_taken_back_is_detected() -> None:
+    with mock.patch.object(worker_requests, 'unlisted_results', lambda *_: []):
+        assert has_violation('crashing', range(6))
+
+
 def test_escrow_keeps_its_properties() -> None:
     run_examples('escrow', max_examples=40, step_count=20)
     assert_no_violation('escrow', range(40))
