--- a/libs/client/src/cassiahold/client/callers.py
+++ b/libs/client/src/cassiahold/client/callers.py
@@ -11,7 +11,12 @@
 from cassiahold.client.retries import Retries
 from cassiahold.core.exceptions import CassiaholdError, ExecutionStatus
 from cassiahold.core.ids import JobId
-from cassiahold.core.states import JobKind, JobOutcome, TaskState
+from cassiahold.core.states import (
+    FailureReason,
+    JobKind,
+    JobOutcome,
+    TaskState,
+)
 
 _MAX_WAIT_S: typing.Final = 30.0
 _FIRST_ERROR_STATUS: typing.Final = 400
@@ -27,7 +32,7 @@
 class JobStatus(msgspec.Struct):
     """The state of one job; times are Unix time in seconds.
 
-    ``finished_at`` is 0 while the job runs.
+    ``finished_at`` is 0 while the job runs; ``reason`` tells why it failed.
     """
 
     job: JobId
@@ -39,6 +44,7 @@
     notes: list[str]
     submitted_at: float
     finished_at: float = 0
+    reason: FailureReason | None = None
 
 
 class CancelResult(msgspec.Struct):
--- a/libs/policy/tests/test_planner.py
+++ b/libs/policy/tests/test_planner.py
@@ -1,10 +1,19 @@
 """Tests of order, placement, gangs, reservations and preemption."""
 
 import random
-import typing
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from planner_fixtures import (
+    BLUE,
+    ONE_CORE,
+    RED,
+    SIZE,
+    end_task,
+    new_planner,
+    started_jobs,
+    submit,
+)
 
 from cassiahold.core.exceptions import InvariantError
 from cassiahold.core.ids import JobId, TeamName, WorkerId
@@ -12,55 +21,12 @@
 from cassiahold.core.states import JobKind
 from cassiahold.core.testing import function_tests
 from cassiahold.policy.capacity_index import grid_level
-from cassiahold.policy.decisions import Plan, task_key
-from cassiahold.policy.planner import Planner
 from cassiahold.policy.shapes import TaskShape
 from cassiahold.policy.shares import Claim, entitlements
 from cassiahold.policy.teams import TeamLimits
-from cassiahold.policy.waiting_jobs import WaitingJob
 from cassiahold.policy.worker_pool import PlacementPreference, WorkerPool
 from cassiahold.policy.workers import Worker, WorkerState
 
-RED, BLUE = TeamName('red'), TeamName('blue')
-SIZE = Resources(4000, 8000, 0)
-ONE_CORE = TaskShape(1000, 1000)
-
-
-def new_planner(workers: int = 2, **weights: float) -> Planner:
-    planner = Planner(seed=1)
-    for number in range(workers):
-        planner.worker_pool.add(
-            Worker(WorkerId(f'w{number}'), SIZE, rack=f'r{number % 2}')
-        )
-    for team, weight in (weights or {'red': 1.0, 'blue': 1.0}).items():
-        planner.limits_by_team[TeamName(team)] = TeamLimits(
-            weight, SIZE * 1000, 10**6
-        )
-    return planner
-
-
-def submit(
-    planner: Planner,
-    job_id: str,
-    tasks: int = 1,
-    team: TeamName = RED,
-    shape: TaskShape = ONE_CORE,
-    waiting_since: float = 0.0,
-    **fields: typing.Any,
-) -> WaitingJob:
-    job = WaitingJob(JobId(job_id), team, shape, waiting_since, **fields)
-    for index in range(tasks):
-        planner.waiting_jobs.add_task(job, index)
-    return job
-
-
-def started_jobs(plan: Plan) -> list[str]:
-    return [start.job for group in plan.start_groups for start in group]
-
-
-def end_task(planner: Planner, name: str, index: int = 0) -> None:
-    assert planner.record_end(task_key(JobId(name), index)) is not None
-
 
 def test_a_task_is_placed_where_it_fits_tightest() -> None:
     planner = new_planner()
@@ -147,6 +113,28 @@
     assert not planner.reservations.reservation_by_job
 
 
+def test_a_gang_does_not_wait_for_a_reserved_worker_that_is_gone() -> None:
+    name = JobId('gang')
+    for state in (WorkerState.LOST, WorkerState.DRAINING, None):
+        planner = new_planner(workers=3)
+        submit(planner, 'small', 12)
+        planner.plan(0.0)
+        submit(planner, name, 8, BLUE, waiting_since=0.0, kind=JobKind.GANG)
+        planner.plan(11.0)
+        gone = planner.reservations.reservation_by_job[name].workers[0]
+        worker = planner.worker_pool.worker_by_id[gone]
+        if state is None:
+            planner.worker_pool.remove(gone)
+        else:
+            worker.state = state
+            planner.worker_pool.reindex(worker)
+        planner.plan(12.0)
+        reserved = planner.reservations.reservation_by_job[name]
+        assert gone not in reserved.workers
+        assert len(reserved.workers) == 2
+        assert worker.reserved_for == '' or state is None
+
+
 def test_two_gangs_never_have_a_reservation_each() -> None:
     planner = new_planner(workers=2)
     submit(planner, 'small', 8)
