--- a/libs/cellstate/src/cassiahold/cellstate/scheduler_commands.py
+++ b/libs/cellstate/src/cassiahold/cellstate/scheduler_commands.py
@@ -8,8 +8,16 @@
 
 from cassiahold.cellstate.jobs import JobSpec
 from cassiahold.cellstate.quotas import QuotaOffer
+from cassiahold.cellstate.worker_crashes import AttemptEvidence
 from cassiahold.config.document import Configuration
-from cassiahold.core.ids import GatewayId, JobId, RequestId, TeamName, WorkerId
+from cassiahold.core.ids import (
+    AttemptId,
+    GatewayId,
+    JobId,
+    RequestId,
+    TeamName,
+    WorkerId,
+)
 from cassiahold.core.resources import Resources
 from cassiahold.core.states import AttemptOutcome
 
@@ -61,6 +69,8 @@
 
     results: list[AttemptResult]
     ended_at: float
+    # The worker that reports them, if it says that it is leaving.
+    leaving_worker: WorkerId | None = None
 
 
 class CancelJobs(msgspec.Struct, frozen=True, array_like=True, tag='cancel'):
@@ -93,6 +103,9 @@
     rack: str
     speed: float
     registered_at: float
+    # Against the attempts of the earlier incarnation, if this is a new one.
+    evidence_by_attempt: dict[AttemptId, AttemptEvidence] | None = None
+    is_leaving: bool = False
 
 
 class MarkWorkersLost(msgspec.Struct, frozen=True, array_like=True, tag='lose'):
@@ -103,13 +116,20 @@
     # For workers that have left for good: also removes their records, which
     # have no allocations any more.
     should_deregister: bool = False
+    # Against their attempts, in case the workers turn out to have crashed.
+    evidence_by_attempt: dict[AttemptId, AttemptEvidence] | None = None
 
 
 class DrainWorker(msgspec.Struct, frozen=True, array_like=True, tag='drain'):
-    """Drains a worker, so that it gets no new tasks, or ends the drain."""
+    """Drains a worker, so that it gets no new tasks, or ends the drain.
+
+    ``is_leaving`` is set if the worker itself has said so, for as long as this
+    incarnation of it lives.
+    """
 
     worker: WorkerId
     is_draining: bool
+    is_leaving: bool | None = None
 
 
 class RegisterGateway(
--- a/libs/wire/src/cassiahold/wire/messages.py
+++ b/libs/wire/src/cassiahold/wire/messages.py
@@ -12,7 +12,7 @@
 from cassiahold.cellstate.jobs import JobSpec
 from cassiahold.cellstate.quotas import QuotaOffer, ResourceTotals
 from cassiahold.config.document import Configuration, Key
-from cassiahold.core.exceptions import ErrorKind
+from cassiahold.core.exceptions import ErrorKind, RetryHint
 from cassiahold.core.ids import (
     AttemptId,
     DataCentre,
@@ -32,6 +32,7 @@
 from cassiahold.core.states import (
     AttemptOutcome,
     CommandKind,
+    FailureReason,
     JobKind,
     JobOutcome,
     TaskState,
@@ -69,7 +70,10 @@
 
 
 class JobStatus(msgspec.Struct, frozen=True, tag='job', omit_defaults=True):
-    """The status of one job; times are Unix times in seconds."""
+    """The status of one job; times are Unix times in seconds.
+
+    ``reason`` is set when the job has failed.
+    """
 
     job: JobId
     team: TeamName
@@ -80,6 +84,7 @@
     notes: list[str]
     submitted_at: float
     finished_at: float = 0
+    reason: FailureReason | None = None
 
 
 class Why(msgspec.Struct, frozen=True, tag='why'):
@@ -466,11 +471,15 @@
 
 
 class Refusal(msgspec.Struct, frozen=True, tag='refusal'):
-    """The request failed; ``leader`` may be able to serve it."""
+    """The request failed; ``leader`` may be able to serve it.
+
+    ``hint`` describes the load of the process that refused it.
+    """
 
     kind: ErrorKind
     detail: str
     leader: ReplicaId | None = None
+    hint: RetryHint | None = None
 
 
 Request = (
--- a/libs/workflows/src/cassiahold/workflows/allocations.py
+++ b/libs/workflows/src/cassiahold/workflows/allocations.py
@@ -14,8 +14,11 @@
 )
 from cassiahold.workflows.model import (
     AttemptKey,
+    JobRecord,
+    StepKey,
     StepRecord,
     StepSpec,
+    TaskKey,
     WorkerRecord,
 )
 
@@ -58,6 +61,26 @@
             )
         self._allocated_by_team[team] = self.usage_of(team) + resources
 
+    def mark_suspect(self, attempt: AttemptKey, worker_id: WorkerId) -> None:
+        """Mark the attempt of a task that has become a suspect."""
+        self._worker_by_id[worker_id].suspect_attempts.add(attempt)
+
+    def restore(self, record: JobRecord, key: StepKey) -> None:
+        """Allocate the resources of a step's attempts in progress."""
+        spec = record.spec.steps[key.step_index]
+        for index, task in enumerate(record.step(key).tasks):
+            if task.active_attempt is not None:
+                attempt = AttemptKey(
+                    TaskKey(key, index), task.active_attempt.attempt_number
+                )
+                self.allocate(
+                    record.team,
+                    attempt,
+                    task.active_attempt.worker,
+                    spec,
+                    record.step(key),
+                )
+
     def release(
         self, team: TeamName, attempt: AttemptKey, worker_id: WorkerId
     ) -> None:
--- a/libs/workflows/src/cassiahold/workflows/attempt_results.py
+++ b/libs/workflows/src/cassiahold/workflows/attempt_results.py
@@ -3,10 +3,11 @@
 from cassiahold.workflows.commands import AttemptResult, FailureReason
 from cassiahold.workflows.configuration import QueuePolicy
 from cassiahold.workflows.crashes import (
-    MAX_CRASH_SCORE,
     PROVEN_RUN_S,
     CrashEvidence,
-    count_crash,
+    add_evidence,
+    clear_suspicion,
+    is_crashing,
 )
 from cassiahold.workflows.model import (
     AttemptOutcome,
@@ -89,7 +90,15 @@
     if task.is_done:
         return None
     if result.crash is not CrashEvidence.NONE:
-        return _count_crash(step, result, spec)
+        if _has_proven_run(spec, result):
+            clear_suspicion(step, task)
+            return None
+        return count_crash(
+            step,
+            result.attempt.task.task_index,
+            result.crash,
+            result.duration_s,
+        )
     if result.outcome is AttemptOutcome.FAILED and not spec.is_long_running:
         task.failures += 1
         step.gang_failures += int(spec.is_gang)
@@ -98,6 +107,31 @@
     return None
 
 
+def count_crash(
+    step: StepRecord, task_index: int, evidence: CrashEvidence, run_s: float
+) -> FailureReason | None:
+    """Count a crash of a worker; return why the job is hopeless, if it is.
+
+    ``run_s`` is how long the attempt had run, 0 if unknown.
+    """
+    task = step.tasks[task_index]
+    if task.is_done:
+        return None
+    step.only_recent_crashes += int(evidence >= CrashEvidence.ONLY_RECENT)
+    add_evidence(task, evidence, run_s)
+    return FailureReason.CRASHES if is_crashing(task, evidence) else None
+
+
+def may_have_crashed(record: JobRecord, result: AttemptResult) -> bool:
+    """Tell whether an attempt may turn out to have ended with a crash."""
+    spec = record.spec.steps[result.attempt.task.step.step_index]
+    return (
+        record.is_open
+        and result.possible_crash is not CrashEvidence.NONE
+        and not _has_proven_run(spec, result)
+    )
+
+
 def has_exhausted_task(record: JobRecord, queue: QueuePolicy | None) -> bool:
     """Tell whether a task that waits has failed as often as its queue allows.
 
@@ -110,6 +144,11 @@
     )
 
 
+def _has_proven_run(spec: StepSpec, result: AttemptResult) -> bool:
+    """Tell whether an attempt ran too long to have crashed its worker."""
+    return spec.is_long_running and result.duration_s >= PROVEN_RUN_S
+
+
 def _is_task_exhausted(
     record: JobRecord, key: StepKey, task_index: int, queue: QueuePolicy | None
 ) -> bool:
@@ -120,19 +159,3 @@
         else step.tasks[task_index].failures
     )
     return queue is not None and failures >= max(queue.max_attempts, 1)
-
-
-def _count_crash(
-    step: StepRecord, result: AttemptResult, spec: StepSpec
-) -> FailureReason | None:
-    task = step.tasks[result.attempt.task.task_index]
-    if spec.is_long_running and result.duration_s >= PROVEN_RUN_S:
-        task.crash_score = 0
-        task.suspect_score = 0
-        step.only_recent_crashes = 0
-        return None
-    step.only_recent_crashes += int(result.crash >= CrashEvidence.ONLY_RECENT)
-    count_crash(task, result.crash, result.duration_s)
-    if task.crash_score >= MAX_CRASH_SCORE:
-        return FailureReason.CRASHES
-    return None
--- a/libs/workflows/src/cassiahold/workflows/command_dispatch.py
+++ b/libs/workflows/src/cassiahold/workflows/command_dispatch.py
@@ -9,6 +9,7 @@
 from cassiahold.workflows import commands
 
 if typing.TYPE_CHECKING:
+    from cassiahold.workflows.lost_attempts import LostAttempt
     from cassiahold.workflows.state import WorkflowState
 
 
@@ -48,8 +49,10 @@
 
 
 @apply_command.register(commands.EndAttempts)
-def _(command: commands.EndAttempts, state: 'WorkflowState') -> None:
-    state.end_attempts(command)
+def _(
+    command: commands.EndAttempts, state: 'WorkflowState'
+) -> 'list[LostAttempt]':
+    return state.end_attempts(command)
 
 
 @apply_command.register(commands.RegisterWorker)
--- a/libs/workflows/src/cassiahold/workflows/crashes.py
+++ b/libs/workflows/src/cassiahold/workflows/crashes.py
@@ -1,44 +1,39 @@
-"""Evidence that a task crashes the workers on which it starts.
+"""Evidence that a task of a step crashes the workers on which it starts.
 
-A worker runs many tasks, and a crash does not tell which of them caused it.
-Each crash therefore adds to the crash score of every task that ran on the
-worker, most for those that had just started.  A task whose score reaches
-``MAX_CRASH_SCORE`` is given up with its job.
+The evidence and its limits are those of ``cassiahold.core.crashes``.
 """
 
-import enum
 import math
 import typing
 
-from cassiahold.workflows.model import AttemptKey, TaskRecord
-
-# A task that crashes its worker mostly does so soon after its start.
-RECENT_START_S: typing.Final = 0.5
-# No task starts a sixth time after five crashes, whatever the evidence.
-MAX_CRASH_SCORE: typing.Final = 10
-# From this suspect score on a task starts apart from other recent starts.
-SUSPECT_CRASH_SCORE: typing.Final = 3
-# A long-running task that has run this long did not crash its worker.
-PROVEN_RUN_S: typing.Final = 30.0
-
-
-class CrashEvidence(enum.IntEnum):
-    """What the crash of a worker tells about one of its attempts.
-
-    The values are added up in the crash score of the task.  ``PRESENT`` means
-    that the attempt was running or may have been, ``RECENT`` that it may have
-    started shortly before the crash, ``ONLY_RECENT`` that moreover no attempt
-    of another job on that worker may have.  ``TRIAL`` means that it was the
-    only such attempt and a trial of a suspect task.
-    """
-
-    NONE = 0
-    PRESENT = 2
-    RECENT = 3
-    ONLY_RECENT = 4
-    TRIAL = 8
-
-
+from cassiahold.core.crashes import (
+    MAX_CRASH_SCORE,
+    PROVEN_RUN_S,
+    RECENT_START_S,
+    SUSPECT_CRASH_SCORE,
+    CrashEvidence,
+    weigh_attempts,
+)
+from cassiahold.workflows.model import AttemptKey, StepRecord, TaskRecord
+
+__all__ = (
+    'MAX_CRASH_SCORE',
+    'PROVEN_RUN_S',
+    'RECENT_START_S',
+    'SUSPECT_CRASH_SCORE',
+    'CrashEvidence',
+    'add_evidence',
+    'clear_suspicion',
+    'is_crashing',
+    'is_last_start',
+    'is_suspect',
+    'is_weak_suspect',
+    'isolation_s',
+    'weigh_crash',
+)
+
+# Workers that crash by themselves may take a sound task with them twice.
+MIN_CRASHES: typing.Final = 3
 # From this score on any further crash reaches the limit.
 LAST_START_CRASH_SCORE: typing.Final = MAX_CRASH_SCORE - CrashEvidence.PRESENT
 
@@ -57,28 +52,16 @@
     connections were silent.
     """
     recent_since = alive_at - RECENT_START_S
-    evidence_by_attempt = dict.fromkeys(attempts, CrashEvidence.PRESENT)
+    job_by_attempt = {attempt: attempt.task.step.job for attempt in attempts}
     recent_attempts = [
         attempt
-        for attempt in evidence_by_attempt
+        for attempt in job_by_attempt
         if sent_at_by_attempt.get(attempt, -math.inf) > recent_since
     ]
-    evidence = _weigh_recent(recent_attempts, suspect_attempts)
-    evidence_by_attempt.update(dict.fromkeys(recent_attempts, evidence))
-    return evidence_by_attempt
+    return weigh_attempts(job_by_attempt, recent_attempts, suspect_attempts)
 
 
-def _weigh_recent(
-    recent_attempts: typing.Sequence[AttemptKey],
-    suspect_attempts: typing.Container[AttemptKey],
-) -> CrashEvidence:
-    if len(recent_attempts) == 1 and recent_attempts[0] in suspect_attempts:
-        return CrashEvidence.TRIAL
-    jobs = {attempt.task.step.job for attempt in recent_attempts}
-    return CrashEvidence.ONLY_RECENT if len(jobs) == 1 else CrashEvidence.RECENT
-
-
-def count_crash(
+def add_evidence(
     task: TaskRecord, evidence: CrashEvidence, run_s: float
 ) -> None:
     """Add the evidence of a crash to the scores of a task.
@@ -86,6 +69,7 @@
     ``run_s`` is how long the attempt had run, 0 if unknown.  One that was not
     recent has survived its trial, so the task is no suspect any more.
     """
+    task.crash_count += 1
     task.crash_score += (
         # Any of several tasks may be the cause, which makes each a suspect.
         CrashEvidence.PRESENT if evidence is CrashEvidence.RECENT else evidence
@@ -109,6 +93,16 @@
     )
 
 
+def is_crashing(task: TaskRecord, evidence: CrashEvidence) -> bool:
+    """Tell whether a task is given up after a crash with some evidence.
+
+    A trial decides; without one the score does.
+    """
+    if evidence is CrashEvidence.TRIAL and task.crash_count >= MIN_CRASHES:
+        return True
+    return task.crash_score >= MAX_CRASH_SCORE
+
+
 def is_last_start(task: TaskRecord) -> bool:
     """Tell whether the next crash may be the last one of a task."""
     return task.crash_score >= LAST_START_CRASH_SCORE
@@ -121,3 +115,11 @@
     cleared by a long run, others by their end.
     """
     return PROVEN_RUN_S if is_long_running else math.inf
+
+
+def clear_suspicion(step: StepRecord, task: TaskRecord) -> None:
+    """Forget the crashes of a task that has run for long."""
+    task.crash_count = 0
+    task.crash_score = 0
+    task.suspect_score = 0
+    step.only_recent_crashes = 0
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -5,20 +5,21 @@
 the command that records its end.
 """
 
-import collections
 import typing
 
 import msgspec
 
 from cassiahold.core.exceptions import ErrorKind
 from cassiahold.core.ids import JobId, QueueName, TeamName, WorkerId
-from cassiahold.core.resources import NO_RESOURCES, Resources, is_within_limit
+from cassiahold.core.resources import Resources
 from cassiahold.workflows import commands
 from cassiahold.workflows.allocations import AllocationLedger
 from cassiahold.workflows.attempt_results import (
     count_against_task,
+    count_crash,
     has_exhausted_task,
     mark_done,
+    may_have_crashed,
     store_checkpoint,
     update_speed,
 )
@@ -27,10 +28,13 @@
     CellConfiguration,
     ConfigurationIndex,
 )
+from cassiahold.workflows.crashes import is_suspect
+from cassiahold.workflows.lost_attempts import LostAttempt
 from cassiahold.workflows.model import (
     AttemptKey,
     AttemptOutcome,
     AttemptRecord,
+    IncarnationKey,
     JobRecord,
     JobState,
     StepKey,
@@ -40,47 +44,31 @@
     WorkerRecord,
     new_job_record,
 )
-from cassiahold.workflows.speeds import SpeedEstimate
-from cassiahold.workflows.steps import can_start, has_startable_tasks, step_keys
+from cassiahold.workflows.snapshots import (
+    ReplicatedData,
+    decode_snapshot,
+    encode_snapshot,
+)
+from cassiahold.workflows.start_checks import can_start_group
+from cassiahold.workflows.steps import has_startable_tasks, step_keys
+from cassiahold.workflows.stops import gang_stops, job_stops
 
 _ABORTED_STATES: typing.Final = frozenset((JobState.FAILED, JobState.CANCELLED))
 
 
-class _ReplicatedData(msgspec.Struct):
-    configuration: CellConfiguration = CellConfiguration()
-    configuration_source: bytes = b''
-    job_by_id: dict[JobId, JobRecord] = msgspec.field(default_factory=dict)
-    worker_by_id: dict[WorkerId, WorkerRecord] = msgspec.field(
-        default_factory=dict
-    )
-
-
-class _Snapshot(msgspec.Struct, array_like=True):
-    configuration: CellConfiguration
-    configuration_source: bytes
-    jobs: list[JobRecord]
-    workers: list[commands.RegisterWorker]
-    speeds: list[SpeedEstimate] = msgspec.field(default_factory=list)
-
-
-_encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(_Snapshot).decode
-
-
-def _satisfies_spread(
-    group: list[commands.AttemptStart], data: _ReplicatedData
+def _is_outdated(
+    record: WorkerRecord | None, command: commands.RegisterWorker
 ) -> bool:
-    step = group[0].attempt.task.step
-    record = data.job_by_id[step.job]
-    max_tasks = record.spec.steps[step.step_index].max_tasks_per_worker
-    if not max_tasks:
-        return True
-    count_by_worker = collections.Counter(start.worker for start in group)
-    for worker_id in count_by_worker:
-        worker = data.worker_by_id.get(worker_id)
-        if worker is not None:
-            count_by_worker[worker_id] += worker.count_tasks(step)
-    return max(count_by_worker.values()) <= max_tasks
+    """Tell whether a description is older than what is known.
+
+    What a poll found holds only if no other incarnation was registered since.
+    """
+    replaced_incarnation = command.replaced_incarnation
+    if replaced_incarnation is not None:
+        return record is None or record.info.incarnation != replaced_incarnation
+    return record is not None and record.is_newer_than(
+        command.info, command.sequence
+    )
 
 
 def _newest_description(
@@ -93,7 +81,9 @@
     if command.sequence != commands.NO_HEARTBEAT_SEQUENCE:
         return command.info
     return msgspec.structs.replace(
-        record.info, incarnation=command.info.incarnation
+        record.info,
+        incarnation=command.info.incarnation,
+        is_draining=False,
     )
 
 
@@ -105,7 +95,7 @@
     """
 
     def __init__(self) -> None:
-        self._data = _ReplicatedData()
+        self._data = ReplicatedData()
         self._effects: list[commands.Effect] = []
         self._rebuild_derived()
 
@@ -131,6 +121,10 @@
         """Return the registered workers."""
         return self._data.worker_by_id
 
+    def has_lost_attempts(self, worker: WorkerId) -> bool:
+        """Tell whether a worker was lost and it is not known why."""
+        return worker in self._data.lost_attempts
+
     def usage_of(self, team: TeamName) -> Resources:
         """Return the resources allocated to a team's attempts."""
         return self._allocations.usage_of(team)
@@ -204,43 +198,11 @@
 
     def snapshot(self) -> bytes:
         """Return the encoded replicated data."""
-        data = self._data
-        return _encode(
-            _Snapshot(
-                data.configuration,
-                data.configuration_source,
-                list(data.job_by_id.values()),
-                [
-                    commands.RegisterWorker(worker.info, worker.sequence)
-                    for worker in data.worker_by_id.values()
-                ],
-                [
-                    worker.speed_estimate
-                    for worker in data.worker_by_id.values()
-                ],
-            )
-        )
+        return encode_snapshot(self._data)
 
     def restore(self, state: bytes) -> None:
         """Replace the replicated data by a snapshot and drop all effects."""
-        snapshot = _decode(state)
-        self._data = _ReplicatedData(
-            snapshot.configuration,
-            snapshot.configuration_source,
-            {record.id: record for record in snapshot.jobs},
-            {
-                registration.info.id: WorkerRecord(
-                    registration.info, sequence=registration.sequence or 0
-                )
-                for registration in snapshot.workers
-            },
-        )
-        for registration, speed_estimate in zip(
-            snapshot.workers, snapshot.speeds, strict=False
-        ):
-            self._data.worker_by_id[
-                registration.info.id
-            ].speed_estimate = speed_estimate
+        self._data = decode_snapshot(state)
         self._effects = []
         self._rebuild_derived()
 
@@ -280,19 +242,30 @@
         """
         started_count = 0
         for group in command.groups:
-            if self._can_start(group):
+            if can_start_group(group, self):
                 started_count += len(group)
                 for start in group:
                     self._start_attempt(start, command.term)
         return started_count
 
-    def end_attempts(self, command: commands.EndAttempts) -> None:
+    def end_attempts(self, command: commands.EndAttempts) -> list[LostAttempt]:
         """Record the ends of attempts and release their resources.
 
         Results of attempts that have no allocation any more are ignored.
+        Returns the attempts that were lost before and count as crashed now.
         """
         for result in command.results:
             self._end_attempt(result, command.ended_at)
+        for key in command.departed:
+            self._record_departure(key)
+        crashed_attempts: list[LostAttempt] = []
+        for key in command.replying:
+            crashed_attempts.extend(
+                self._data.lost_attempts.resolve(key, command.ended_at)
+            )
+        for lost in crashed_attempts:
+            self._count_late_crash(lost, command.ended_at)
+        return crashed_attempts
 
     def register_worker(self, command: commands.RegisterWorker) -> bool:
         """Add or update a worker; return False for an older description.
@@ -301,30 +274,32 @@
         """
         info = command.info
         record = self._data.worker_by_id.get(info.id)
+        if _is_outdated(record, command):
+            return False
         if record is None:
             record = WorkerRecord(info)
             self._data.worker_by_id[info.id] = record
-        elif record.is_newer_than(info, command.sequence):
-            return False
         elif info == record.info and command.sequence is not None:
             record.sequence = command.sequence
             return True
-        elif info.incarnation > record.info.incarnation:
-            # The new incarnation may run on different hardware.
-            record.speed_estimate = SpeedEstimate()
-            record.sequence = 0
+        elif info.incarnation != record.info.incarnation:
             info = _newest_description(record, command)
+            record.replace_incarnation(info.incarnation)
         # Attempts of earlier incarnations stay until their end is known.
         record.info = info
         if command.sequence is not None:
             record.sequence = max(command.sequence, 0)
+        if info.is_draining:
+            self._data.lost_attempts.forget_incarnation(
+                IncarnationKey(info.id, info.incarnation)
+            )
         self._effects.append(commands.WorkerChanged(info.id))
         return True
 
     def remove_worker(self, command: commands.RemoveWorker) -> None:
         """Remove a worker; its attempts end as lost."""
         record = self._data.worker_by_id.get(command.id)
-        if record is None or record.info.incarnation > command.incarnation:
+        if record is None or record.info.incarnation != command.incarnation:
             return
         results = [
             commands.AttemptResult(attempt, command.id, AttemptOutcome.LOST)
@@ -386,22 +361,7 @@
                 self._change_unstarted_count(record, 1)
             self._update_waiting_steps(record)
             for key in step_keys(record):
-                self._restore_allocations(record, key)
-
-    def _restore_allocations(self, record: JobRecord, key: StepKey) -> None:
-        spec = record.spec.steps[key.step_index]
-        for index, task in enumerate(record.step(key).tasks):
-            if task.active_attempt is not None:
-                attempt = AttemptKey(
-                    TaskKey(key, index), task.active_attempt.attempt_number
-                )
-                self._allocations.allocate(
-                    record.team,
-                    attempt,
-                    task.active_attempt.worker,
-                    spec,
-                    record.step(key),
-                )
+                self._allocations.restore(record, key)
 
     def _change_unstarted_count(self, record: JobRecord, change: int) -> None:
         count = self.count_unstarted_jobs(record.queue) + change
@@ -419,37 +379,6 @@
         if not record.is_open or not record.step(key).remaining_tasks:
             self._effects.append(commands.StepClosed(key))
 
-    def _can_start(self, group: list[commands.AttemptStart]) -> bool:
-        required_by_worker: dict[WorkerId, Resources] = {}
-        if not self._is_within_team_limit(group) or not _satisfies_spread(
-            group, self._data
-        ):
-            return False
-        for start in group:
-            worker = self._data.worker_by_id.get(start.worker)
-            record = self._data.job_by_id.get(start.attempt.task.step.job)
-            if worker is None or worker.info.incarnation != start.incarnation:
-                return False
-            if record is None or not can_start(record, start):
-                return False
-            required = required_by_worker.get(start.worker, NO_RESOURCES)
-            required += self.step_spec(start.attempt.task.step).resources
-            required_by_worker[start.worker] = required
-            if not required.fits_in(worker.free_resources):
-                return False
-        return True
-
-    def _is_within_team_limit(self, group: list[commands.AttemptStart]) -> bool:
-        record = self._data.job_by_id.get(group[0].attempt.task.step.job)
-        if record is None:
-            return False
-        team = self.configuration_index.team_by_name.get(record.team)
-        if team is None:
-            return True
-        resources = self.step_spec(group[0].attempt.task.step).resources
-        usage = self.usage_of(team.name) + resources * len(group)
-        return is_within_limit(usage, team.limit)
-
     def _start_attempt(self, start: commands.AttemptStart, term: int) -> None:
         key = start.attempt.task.step
         record = self._data.job_by_id[key.job]
@@ -492,9 +421,44 @@
         task.active_attempt = None
         if result.checkpoint:
             store_checkpoint(record, result)
+        if may_have_crashed(record, result):
+            self._data.lost_attempts.add(
+                LostAttempt(
+                    result.attempt,
+                    result.worker,
+                    attempt.incarnation,
+                    result.possible_crash,
+                    ended_at,
+                )
+            )
         self._apply_result(record, result, ended_at)
         self._update_waiting_step(record, key)
 
+    def _record_departure(self, key: IncarnationKey) -> None:
+        self._data.lost_attempts.forget_incarnation(key)
+        record = self._data.worker_by_id.get(key.worker)
+        if record is not None and not record.has_departed(
+            record.info.incarnation
+        ):
+            record.departed_incarnation = key.incarnation
+
+    def _count_late_crash(self, lost: LostAttempt, counted_at: float) -> None:
+        """Count a crash against a task that may be running elsewhere."""
+        key = lost.attempt.task
+        record = self._data.job_by_id.get(key.step.job)
+        if record is None or not record.is_open:
+            return
+        step = record.step(key.step)
+        reason = count_crash(step, key.task_index, lost.evidence, run_s=0.0)
+        if reason is not None:
+            self._finish_job(record, JobState.FAILED, counted_at, reason)
+        task = step.tasks[key.task_index]
+        current = task.active_attempt
+        if current is not None and is_suspect(task):
+            self._allocations.mark_suspect(
+                AttemptKey(key, current.attempt_number), current.worker
+            )
+
     def _apply_result(
         self, record: JobRecord, result: commands.AttemptResult, ended_at: float
     ) -> None:
@@ -505,8 +469,8 @@
         if result.outcome is AttemptOutcome.DONE and not spec.is_long_running:
             self._complete_task(record, result, ended_at)
             return
-        if spec.is_gang:
-            self._stop_gang_members(record, result)
+        if spec.is_gang and record.step(key).remaining_tasks:
+            self._effects.extend(gang_stops(result.attempt, self))
         self._fail_job_if_hopeless(record, result, ended_at)
 
     def _complete_task(
@@ -531,21 +495,6 @@
         if reason is not None:
             self._finish_job(record, JobState.FAILED, ended_at, reason)
 
-    def _stop_gang_members(
-        self, record: JobRecord, result: commands.AttemptResult
-    ) -> None:
-        key = result.attempt.task.step
-        if not record.step(key).remaining_tasks:
-            return
-        for member in self.gang_members(result.attempt):
-            attempt = self.find_attempt(member.task)
-            if attempt is not None:
-                self._effects.append(
-                    commands.AttemptStopRequired(
-                        member, attempt.worker, 'gang_broken'
-                    )
-                )
-
     def _finish_job(
         self,
         record: JobRecord,
@@ -563,16 +512,5 @@
             )
         )
         self._update_waiting_steps(record)
-        if state is JobState.COMPLETE:
-            return
-        for key in step_keys(record):
-            for index, task in enumerate(record.step(key).tasks):
-                if task.active_attempt is not None:
-                    attempt = AttemptKey(
-                        TaskKey(key, index), task.active_attempt.attempt_number
-                    )
-                    self._effects.append(
-                        commands.AttemptStopRequired(
-                            attempt, task.active_attempt.worker, state.value
-                        )
-                    )
+        if state is not JobState.COMPLETE:
+            self._effects.extend(job_stops(record))
--- a/programs/scheduler/src/cassiahold/scheduler/control_loop.py
+++ b/programs/scheduler/src/cassiahold/scheduler/control_loop.py
@@ -9,9 +9,11 @@
 
 from cassiahold.cellstate import scheduler_commands as commands
 from cassiahold.cellstate.scheduler_state import SchedulerState
+from cassiahold.cellstate.worker_crashes import AttemptEvidence
 from cassiahold.core import logs
-from cassiahold.core.ids import DataCentre, WorkerId
+from cassiahold.core.ids import AttemptId, DataCentre, WorkerId
 from cassiahold.core.metrics import Metrics
+from cassiahold.scheduler.crash_evidence import weigh_worker
 from cassiahold.scheduler.planner_projection import PlannerProjection
 from cassiahold.scheduler.sessions import SessionTable
 
@@ -45,7 +47,7 @@
         self._next_plan_at = 0.0
         self._next_prune_at = 0.0
         # Workers declared lost by a command that may not be committed yet.
-        self._pending_losses: set[WorkerId] = set()
+        self._is_departed_by_pending_loss: dict[WorkerId, bool] = {}
 
     def due_commands(self, now: float) -> list[commands.SchedulerCommand]:
         """Return the commands to propose now."""
@@ -58,9 +60,25 @@
         commands_due.extend(self._plan_starts(now))
         return commands_due
 
-    def record_report(self, worker: WorkerId) -> None:
-        """Allow a worker that reports again to be declared lost anew."""
-        self._pending_losses.discard(worker)
+    def is_loss_pending(self, worker: WorkerId) -> bool:
+        """Tell whether a worker is being declared lost.
+
+        It must not get a lease before that has been committed: its tasks are
+        then placed elsewhere.
+        """
+        return worker in self._is_departed_by_pending_loss
+
+    def record_applied(self) -> None:
+        """Note which declared losses the last command has committed."""
+        self._is_departed_by_pending_loss = {
+            worker: is_departed
+            for worker, is_departed in self._is_departed_by_pending_loss.items()
+            if not self._is_committed(worker, is_departed=is_departed)
+        }
+
+    def _is_committed(self, worker: WorkerId, *, is_departed: bool) -> bool:
+        record = self._state.worker_by_id.get(worker)
+        return record is None or (record.is_lost and not is_departed)
 
     def _expire_tasks(self) -> typing.Iterator[commands.ExpireTasks]:
         deadlines = self._projection.deadline_heap
@@ -77,20 +95,22 @@
         lapsed = [
             worker
             for worker in self._sessions.lapsed_workers(now)
-            if worker not in self._pending_losses
+            if worker not in self._is_departed_by_pending_loss
         ]
         lost, departed = [], []
         for worker in lapsed:
             record = self._state.worker_by_id.get(worker)
             if record is None:
                 self._sessions.close_session(worker)
-            elif record.is_draining:
+            elif record.is_departing:
                 departed.append(worker)
             elif not record.is_lost:
                 lost.append(worker)
         for workers, is_departed in ((lost, False), (departed, True)):
             if workers:
-                self._pending_losses.update(workers)
+                self._is_departed_by_pending_loss.update(
+                    dict.fromkeys(workers, is_departed)
+                )
                 logs.warning(
                     'workers_lost',
                     centre=self._data_centre,
@@ -99,9 +119,23 @@
                     left=is_departed,
                 )
                 yield commands.MarkWorkersLost(
-                    workers, time.time(), is_departed
+                    workers, time.time(), is_departed, self._evidence(workers)
                 )
 
+    def _evidence(
+        self, workers: list[WorkerId]
+    ) -> dict[AttemptId, AttemptEvidence]:
+        evidence_by_attempt: dict[AttemptId, AttemptEvidence] = {}
+        for worker in workers:
+            evidence_by_attempt.update(
+                weigh_worker(
+                    self._state.worker_by_id[worker],
+                    self._sessions.session_by_worker[worker],
+                    self._state,
+                )
+            )
+        return evidence_by_attempt
+
     def _prune_jobs(self, now: float) -> typing.Iterator[commands.PruneJobs]:
         if now >= self._next_prune_at:
             self._next_prune_at = now + PRUNE_INTERVAL_S
--- a/programs/scheduler/src/cassiahold/scheduler/planner_projection.py
+++ b/programs/scheduler/src/cassiahold/scheduler/planner_projection.py
@@ -11,7 +11,9 @@
 from cassiahold.cellstate import effects
 from cassiahold.cellstate.jobs import JobRecord, WorkerRecord
 from cassiahold.cellstate.scheduler_state import SchedulerState
+from cassiahold.core.crashes import is_suspect
 from cassiahold.core.ids import JobId, TaskKey, TeamName, WorkerId
+from cassiahold.core.metrics import Metrics
 from cassiahold.core.states import JobKind, TaskState
 from cassiahold.policy.decisions import task_key
 from cassiahold.policy.planner import Planner
@@ -20,6 +22,7 @@
 from cassiahold.policy.teams import TeamLimits
 from cassiahold.policy.waiting_jobs import WaitingJob
 from cassiahold.policy.workers import Worker, WorkerState
+from cassiahold.scheduler.crash_events import record_crash, record_given_up
 
 
 class PlannerProjection:
@@ -29,8 +32,11 @@
     ``deadline_heap`` holds the deadlines of jobs in wall time.
     """
 
-    def __init__(self, state: SchedulerState, now: float) -> None:
+    def __init__(
+        self, state: SchedulerState, now: float, metrics: Metrics
+    ) -> None:
         self.planner = Planner()
+        self.metrics = metrics
         self.needs_plan = True
         self.deadline_heap: list[tuple[float, JobId]] = []
         self._state = state
@@ -71,13 +77,35 @@
             self._queue_waiting_task(record, gang_index, now)
 
     def queue_after_backoff(self, job: JobId, index: int, now: float) -> None:
-        """Queue a task at once, or after its backoff if one is set."""
+        """Queue a task at once, or after its backoff if one is set.
+
+        The deadline may have passed while the task ran, and then counts anew;
+        services are restarted whenever they end.
+        """
+        record = self._state.job_by_id.get(job)
+        if (
+            record is not None
+            and record.tasks[index].attempt
+            and record.spec.kind is not JobKind.SERVICE
+        ):
+            self.add_deadline(record)
         backoff_s = self._backoff_s_by_task.pop(task_key(job, index), 0.0)
         if backoff_s > 0:
             heapq.heappush(self._delayed_heap, (now + backoff_s, job, index))
         else:
             self.queue_task(job, index, now)
 
+    def queue_gang_after_end(self, job: JobId, index: int, now: float) -> None:
+        """Queue the members that waited for a member which has now ended.
+
+        A member that itself waits again is queued after its backoff.
+        """
+        record = self._state.job_by_id.get(job)
+        if record is None or record.spec.kind is not JobKind.GANG:
+            return
+        if record.tasks[index].state is not TaskState.WAITING:
+            self.queue_task(job, index, now)
+
     def _queue_waiting_task(
         self, record: JobRecord, index: int, now: float
     ) -> None:
@@ -88,9 +116,22 @@
             return
         self.needs_plan = True
         self.planner.waiting_jobs.add_task(
-            queued_job or self._waiting_job(record, now), index
+            queued_job or self._waiting_job(record, now),
+            index,
+            is_suspect=is_suspect(record.tasks[index].crash_score),
         )
 
+    def requeue_suspect(self, job_id: JobId, index: int, now: float) -> None:
+        """Let a waiting task that has become suspect wait for a trial."""
+        waiting_job = self.planner.waiting_jobs.job_by_id.get(job_id)
+        if waiting_job is not None and waiting_job.is_task_pending(index):
+            self.planner.waiting_jobs.remove_task(job_id, index)
+            self.queue_task(job_id, index, now)
+
+    def record_given_up(self, job: JobId) -> None:
+        """Log and count a job that was given up for its crashes."""
+        record_given_up(self._state.job_by_id[job], self.metrics)
+
     def update_configuration(self) -> None:
         """Copy shares, limits and placement policies from the state."""
         planner = self.planner
@@ -113,6 +154,7 @@
         worker_pool = self.planner.worker_pool
         if record is None:
             worker_pool.remove(worker_id)
+            self.planner.trials.refresh(worker_id)
             self.planner.failure_tracker.remove_worker(worker_id)
             return
         self.planner.failure_tracker.add_worker(worker_id, record.rack)
@@ -123,6 +165,7 @@
                 worker.allocate(key, resources)
             worker.reserved_for = previous.reserved_for
         worker_pool.add(worker)
+        self.planner.trials.refresh(worker_id)
         self.update_worker_state(worker_id)
 
     def update_worker_state(self, worker_id: WorkerId) -> None:
@@ -141,7 +184,7 @@
         worker.concurrency_limit = concurrency_limit
         if record.is_lost:
             worker.state = WorkerState.LOST
-        elif record.is_draining:
+        elif record.is_departing:
             worker.state = WorkerState.DRAINING
         elif concurrency_limit == 0:
             worker.state = WorkerState.QUARANTINED
@@ -239,6 +282,7 @@
                 spec.name,
                 spec.urgent,
                 spec.idempotent,
+                is_suspect=is_suspect(record.tasks[index].crash_score),
             )
         )
 
@@ -321,6 +365,7 @@
     effect: effects.AttemptEnded, projection: PlannerProjection, now: float
 ) -> None:
     projection.release_task(effect.job, effect.index)
+    projection.queue_gang_after_end(effect.job, effect.index, now)
 
 
 @_apply_effect.register
@@ -330,6 +375,27 @@
     projection.update_worker(effect.worker)
 
 
+@_apply_effect.register
+def _(
+    effect: effects.WorkerCrashed, projection: PlannerProjection, now: float
+) -> None:
+    record_crash(effect, projection.metrics)
+
+
+@_apply_effect.register
+def _(
+    effect: effects.TaskCharged, projection: PlannerProjection, now: float
+) -> None:
+    projection.requeue_suspect(effect.job, effect.index, now)
+
+
+@_apply_effect.register
+def _(
+    effect: effects.JobGivenUp, projection: PlannerProjection, now: float
+) -> None:
+    projection.record_given_up(effect.job)
+
+
 @_apply_effect.register
 def _(
     effect: effects.ConfigurationChanged,
