Split the planner by tasks, gangs, suspects and advisor queries

planning.py had one class with 44 methods. The pass now composes Placement, AdvisorQueries, SuspectPlacement and GangPlacement, each in a module of its own; plans.py has the inputs and the result.

--- a/libs/workflows/src/cassiahold/workflows/available_workers.py
+++ b/libs/workflows/src/cassiahold/workflows/available_workers.py
@@ -294,5 +294,12 @@
     return fitting_count
 
 
+def task_capacity(
+    candidate: Candidate, workers: typing.Sequence[AvailableWorker]
+) -> int:
+    """Return how many more tasks of a step fit on some workers."""
+    return sum(worker.count_fitting_tasks(candidate) for worker in workers)
+
+
 def _negative_free_cores(worker: AvailableWorker) -> int:
     return -worker.free_resources.cores_m
--- a/libs/workflows/tests/test_capacity_changes.py
+++ b/libs/workflows/tests/test_capacity_changes.py
@@ -24,7 +24,8 @@
 from cassiahold.workflows.available_workers import count_fitting
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import AttemptOutcome
-from cassiahold.workflows.planning import Plan, Planner, PlanningContext
+from cassiahold.workflows.planning import Planner
+from cassiahold.workflows.plans import Plan, PlanningContext
 from cassiahold.workflows.state import WorkflowState
 
 ONLY_CORES = Resources(cores_m=1000)
--- a/libs/workflows/tests/test_planning.py
+++ b/libs/workflows/tests/test_planning.py
@@ -19,7 +19,8 @@
 from cassiahold.workflows.advisor_replies import AdvisorReply, AdvisorReplyCache
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import AttemptOutcome
-from cassiahold.workflows.planning import Plan, Planner, PlanningContext
+from cassiahold.workflows.planning import Planner
+from cassiahold.workflows.plans import Plan, PlanningContext
 
 VALIDITY_S = 9.0
 
--- a/libs/workflows/tests/test_suspects.py
+++ b/libs/workflows/tests/test_suspects.py
@@ -25,7 +25,8 @@
 )
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import AttemptKey, AttemptOutcome
-from cassiahold.workflows.planning import Planner, PlanningContext
+from cassiahold.workflows.planning import Planner
+from cassiahold.workflows.plans import PlanningContext
 from cassiahold.workflows.suspects import MAX_GROUP_TASKS, MAX_KEPT_WORKERS
 
 NOW_S = 10.0
--- a/programs/cell/src/cassiahold/cell/advisor_dispatch.py
+++ b/programs/cell/src/cassiahold/cell/advisor_dispatch.py
@@ -18,7 +18,7 @@
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.workflows.advisor_replies import AdvisorReply
-from cassiahold.workflows.planning import AdvisorQuery
+from cassiahold.workflows.plans import AdvisorQuery
 
 # The leader's own host sends only shorter queries while other hosts help.
 SHORT_QUERY_S: typing.Final = 0.1
--- a/programs/cell/src/cassiahold/cell/local_requests.py
+++ b/programs/cell/src/cassiahold/cell/local_requests.py
@@ -12,7 +12,7 @@
 from cassiahold.core.ids import WorkerId
 from cassiahold.workflows.advisor_replies import AdvisorReply
 from cassiahold.workflows.model import AttemptKey
-from cassiahold.workflows.planning import AdvisorQuery
+from cassiahold.workflows.plans import AdvisorQuery
 from cassiahold.workflows.sessions import PollReply
 
 
--- a/programs/cell/src/cassiahold/cell/request_interface.py
+++ b/programs/cell/src/cassiahold/cell/request_interface.py
@@ -4,7 +4,7 @@
 
 from cassiahold.cell.clients import StartRequest, StopRequest
 from cassiahold.workflows.model import WorkerInfo
-from cassiahold.workflows.planning import AdvisorQuery
+from cassiahold.workflows.plans import AdvisorQuery
 
 
 class RequestSender(typing.Protocol):
--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -29,7 +29,7 @@
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.workflows.model import AttemptKey, WorkerInfo
-from cassiahold.workflows.planning import AdvisorQuery
+from cassiahold.workflows.plans import AdvisorQuery
 
 # A new leader polls every worker, so the number at a time is limited.
 MAX_CONCURRENT_FIRST_POLLS: typing.Final = 8
--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -27,7 +27,8 @@
 from cassiahold.workflows.configuration import QueuePolicy
 from cassiahold.workflows.load import measure_load
 from cassiahold.workflows.model import JobRecord
-from cassiahold.workflows.planning import Planner, PlanningContext
+from cassiahold.workflows.planning import Planner
+from cassiahold.workflows.plans import PlanningContext
 from cassiahold.workflows.state import WorkflowState
 
 PLAN_INTERVAL_S: typing.Final = 0.05  # between passes without changes
--- a/programs/cell/tests/leader_fixtures.py
+++ b/programs/cell/tests/leader_fixtures.py
@@ -31,7 +31,7 @@
     TeamPolicy,
 )
 from cassiahold.workflows.model import StepSpec, WorkerInfo, WorkflowSpec
-from cassiahold.workflows.planning import AdvisorQuery
+from cassiahold.workflows.plans import AdvisorQuery
 from cassiahold.workflows.sessions import (
     EndedAttempt,
     PollReply,
--- a/programs/cell/tests/test_request_sender.py
+++ b/programs/cell/tests/test_request_sender.py
@@ -36,7 +36,7 @@
 from cassiahold.workflows.advisor_replies import AdvisorReply
 from cassiahold.workflows.configuration import QueuePolicy
 from cassiahold.workflows.model import AttemptKey, StepKey, TaskKey, WorkerInfo
-from cassiahold.workflows.planning import AdvisorQuery
+from cassiahold.workflows.plans import AdvisorQuery
 from cassiahold.workflows.sessions import PollReply
 
 WORKER = WorkerInfo(
--- a/tools/bench/src/cassiahold/bench/experiments/advised_cell.py
+++ b/tools/bench/src/cassiahold/bench/experiments/advised_cell.py
@@ -41,7 +41,8 @@
     WorkerInfo,
     WorkflowSpec,
 )
-from cassiahold.workflows.planning import AdvisorQuery, Planner, PlanningContext
+from cassiahold.workflows.planning import Planner
+from cassiahold.workflows.plans import AdvisorQuery, PlanningContext
 from cassiahold.workflows.state import WorkflowState
 
 PLAN_INTERVAL_S: typing.Final = 0.025
--- a/tools/bench/src/cassiahold/bench/experiments/crashing_cell.py
+++ b/tools/bench/src/cassiahold/bench/experiments/crashing_cell.py
@@ -45,7 +45,8 @@
     WorkerInfo,
     WorkflowSpec,
 )
-from cassiahold.workflows.planning import Planner, PlanningContext
+from cassiahold.workflows.planning import Planner
+from cassiahold.workflows.plans import PlanningContext
 from cassiahold.workflows.state import WorkflowState
 from cassiahold.workflows.steps import startable_tasks
 
