Merge the mends of trials, and sound jobs that are not given up

Suspects are cleared, isolated and doubted by step, bounded by team, share trials and are kept apart from other starts; the planner is split by job.

--- a/libs/core/src/cassiahold/core/crashes.py
+++ b/libs/core/src/cassiahold/core/crashes.py
@@ -27,34 +27,41 @@
     The values are added up in the crash score of the task.  ``PRESENT`` means
     that the attempt was running or may have been, ``RECENT`` that it may have
     started shortly before the crash, ``ONLY_RECENT`` that moreover no attempt
-    of another job on that worker may have.
+    of another job on that worker may have.  ``TRIAL`` means that it was the
+    only such attempt and a trial of a suspect task.
     """
 
     NONE = 0
     PRESENT = 2
     RECENT = 3
     ONLY_RECENT = 4
+    TRIAL = 5
 
 
 def weigh_attempts(
     job_by_attempt: typing.Mapping[Attempt, typing.Hashable],
     recent_attempts: typing.Collection[Attempt],
+    suspect_attempts: typing.Container[Attempt] = (),
 ) -> dict[Attempt, CrashEvidence]:
     """Return the evidence of one crash against each attempt of a worker.
 
     ``recent_attempts`` are those of them that may have started shortly before
-    the crash.
+    the crash, ``suspect_attempts`` the trials of suspect tasks.
     """
     evidence_by_attempt = dict.fromkeys(job_by_attempt, CrashEvidence.PRESENT)
     recent_jobs = {job_by_attempt[attempt] for attempt in recent_attempts}
-    evidence_by_attempt.update(
-        dict.fromkeys(
-            recent_attempts,
-            CrashEvidence.ONLY_RECENT
-            if len(recent_jobs) == 1
-            else CrashEvidence.RECENT,
-        )
+    recent_evidence = (
+        CrashEvidence.ONLY_RECENT
+        if len(recent_jobs) == 1
+        else CrashEvidence.RECENT
     )
+    evidence_by_attempt.update(dict.fromkeys(recent_attempts, recent_evidence))
+    if len(recent_attempts) == 1:
+        evidence_by_attempt.update(
+            (attempt, CrashEvidence.TRIAL)
+            for attempt in recent_attempts
+            if attempt in suspect_attempts
+        )
     return evidence_by_attempt
 
 
--- a/libs/workflows/src/cassiahold/workflows/allocations.py
+++ b/libs/workflows/src/cassiahold/workflows/allocations.py
@@ -7,11 +7,17 @@
 
 from cassiahold.core.ids import TeamName, WorkerId
 from cassiahold.core.resources import NO_RESOURCES, Resources
-from cassiahold.workflows.crashes import is_suspect
+from cassiahold.workflows.crashes import (
+    is_last_start,
+    is_suspect,
+    isolation_s,
+)
 from cassiahold.workflows.model import (
     AttemptKey,
     JobRecord,
     StepKey,
+    StepRecord,
+    StepSpec,
     TaskKey,
     WorkerRecord,
 )
@@ -38,19 +44,21 @@
         team: TeamName,
         attempt: AttemptKey,
         worker_id: WorkerId,
-        resources: Resources,
-        *,
-        is_suspect: bool,
+        spec: StepSpec,
+        step: StepRecord,
     ) -> None:
-        """Allocate resources of a worker to an attempt.
-
-        ``is_suspect`` marks an attempt of a task that may crash its worker.
-        """
+        """Allocate resources of a worker to an attempt of a step's task."""
         worker = self._worker_by_id[worker_id]
+        resources = spec.resources
+        task = step.tasks[attempt.task.task_index]
         worker.allocated += resources
         worker.resources_by_attempt[attempt] = resources
-        if is_suspect:
+        if is_suspect(task) or step.is_doubted:
             worker.suspect_attempts.add(attempt)
+        if is_last_start(task):
+            worker.isolation_s_by_attempt[attempt] = isolation_s(
+                is_long_running=spec.is_long_running
+            )
         self._allocated_by_team[team] = self.usage_of(team) + resources
 
     def mark_suspect(self, attempt: AttemptKey, worker_id: WorkerId) -> None:
@@ -59,7 +67,7 @@
 
     def restore(self, record: JobRecord, key: StepKey) -> None:
         """Allocate the resources of a step's attempts in progress."""
-        resources = record.spec.steps[key.step_index].resources
+        spec = record.spec.steps[key.step_index]
         for index, task in enumerate(record.step(key).tasks):
             if task.active_attempt is not None:
                 attempt = AttemptKey(
@@ -69,8 +77,8 @@
                     record.team,
                     attempt,
                     task.active_attempt.worker,
-                    resources,
-                    is_suspect=is_suspect(task.crash_score),
+                    spec,
+                    record.step(key),
                 )
 
     def release(
@@ -81,4 +89,5 @@
         resources = worker.resources_by_attempt.pop(attempt)
         worker.allocated -= resources
         worker.suspect_attempts.discard(attempt)
+        worker.isolation_s_by_attempt.pop(attempt, None)
         self._allocated_by_team[team] = self.usage_of(team) - resources
--- a/libs/workflows/src/cassiahold/workflows/attempt_results.py
+++ b/libs/workflows/src/cassiahold/workflows/attempt_results.py
@@ -3,16 +3,18 @@
 from cassiahold.workflows.commands import AttemptResult, FailureReason
 from cassiahold.workflows.configuration import QueuePolicy
 from cassiahold.workflows.crashes import (
-    MAX_CRASH_SCORE,
     PROVEN_RUN_S,
     CrashEvidence,
+    add_evidence,
+    clear_suspicion,
+    is_crashing,
 )
 from cassiahold.workflows.model import (
     AttemptOutcome,
     JobRecord,
     StepKey,
+    StepRecord,
     StepSpec,
-    TaskRecord,
     WorkerRecord,
 )
 from cassiahold.workflows.steps import startable_tasks, step_keys
@@ -89,9 +91,14 @@
         return None
     if result.crash is not CrashEvidence.NONE:
         if _has_proven_run(spec, result):
-            task.crash_score = 0
+            clear_suspicion(step, task)
             return None
-        return count_crash(task, result.crash)
+        return count_crash(
+            step,
+            result.attempt.task.task_index,
+            result.crash,
+            result.duration_s,
+        )
     if result.outcome is AttemptOutcome.FAILED and not spec.is_long_running:
         task.failures += 1
         step.gang_failures += int(spec.is_gang)
@@ -101,15 +108,18 @@
 
 
 def count_crash(
-    task: TaskRecord, evidence: CrashEvidence
+    step: StepRecord, task_index: int, evidence: CrashEvidence, run_s: float
 ) -> FailureReason | None:
-    """Count a crash of a worker; return why the job is hopeless, if it is."""
+    """Count a crash of a worker; return why the job is hopeless, if it is.
+
+    ``run_s`` is how long the attempt had run, 0 if unknown.
+    """
+    task = step.tasks[task_index]
     if task.is_done:
         return None
-    task.crash_score += evidence
-    if task.crash_score >= MAX_CRASH_SCORE:
-        return FailureReason.CRASHES
-    return None
+    step.only_recent_crashes += int(evidence >= CrashEvidence.ONLY_RECENT)
+    add_evidence(task, evidence, run_s)
+    return FailureReason.CRASHES if is_crashing(task, evidence) else None
 
 
 def may_have_crashed(record: JobRecord, result: AttemptResult) -> bool:
--- a/libs/workflows/src/cassiahold/workflows/available_workers.py
+++ b/libs/workflows/src/cassiahold/workflows/available_workers.py
@@ -6,6 +6,7 @@
 """
 
 import bisect
+import collections
 import typing
 
 import msgspec
@@ -14,7 +15,12 @@
 from cassiahold.core.resources import NO_RESOURCES, Resources
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import StepKey, WorkerInfo, WorkerRecord
-from cassiahold.workflows.suspects import has_trial, trial_limit
+from cassiahold.workflows.suspects import (
+    has_light_load,
+    has_trial,
+    kept_worker_limit,
+    loaded_trial_limit,
+)
 from cassiahold.workflows.urgency import Candidate
 
 SPEED_RESOLUTION: typing.Final = 0.25  # speeds this close count as equal
@@ -28,7 +34,9 @@
     """A worker and the resources that are still free in this pass.
 
     ``planned_tasks_by_step`` counts the tasks that the pass assigned to it.
-    ``has_trial`` is set while it runs a task that may soon crash it.
+    ``has_trial`` is set while it runs a task that may soon crash it, and
+    ``free_group_places`` counts the tasks that may share a trial of this pass.
+    ``is_kept`` is set while it is kept free for a trial.
     """
 
     record: WorkerRecord
@@ -37,6 +45,8 @@
     speed: float
     is_suspect: bool
     has_trial: bool = False
+    free_group_places: int = 0
+    is_kept: bool = False
     planned_tasks_by_step: dict[StepKey, int] = msgspec.field(
         default_factory=dict
     )
@@ -64,12 +74,7 @@
 
     def is_eligible_for(self, candidate: Candidate) -> bool:
         """Tell whether the worker has a step's service and label."""
-        spec = candidate.spec
-        if self.info.service != candidate.queue.service:
-            return False
-        return (
-            not spec.required_label or spec.required_label in self.info.labels
-        )
+        return is_eligible(candidate, self.info)
 
     def count_fitting_tasks(self, candidate: Candidate) -> int:
         """Return how many more tasks of a step fit."""
@@ -111,6 +116,12 @@
         self._worker_by_id = {
             available.info.id: available for available in self._ordered
         }
+        self._workers_by_service: dict[str, list[AvailableWorker]] = (
+            collections.defaultdict(list)
+        )
+        for available in self._ordered:
+            self._workers_by_service[available.info.service].append(available)
+        self._has_light_load_by_service: dict[str, bool] = {}
 
     def select(
         self, workers: typing.Iterable[WorkerId]
@@ -119,13 +130,32 @@
         selected = (self._worker_by_id.get(worker_id) for worker_id in workers)
         return [worker for worker in selected if worker is not None]
 
+    def has_light_load(self, service: str) -> bool:
+        """Tell whether much of the capacity of a service is free."""
+        has_light = self._has_light_load_by_service.get(service)
+        if has_light is None:
+            has_light = has_light_load(
+                worker.record for worker in self._workers_of(service)
+            )
+            self._has_light_load_by_service[service] = has_light
+        return has_light
+
     def remaining_trials(self, service: str) -> int:
         """Return on how many more of its workers a suspect task may start."""
-        workers = [
-            worker for worker in self._ordered if worker.info.service == service
-        ]
-        trial_count = sum(worker.has_trial for worker in workers)
-        return trial_limit([worker.record for worker in workers]) - trial_count
+        workers = self._workers_of(service)
+        limit = (
+            len(workers)
+            if self.has_light_load(service)
+            else loaded_trial_limit(len(workers))
+        )
+        return limit - sum(worker.has_trial for worker in workers)
+
+    def kept_worker_limit(self, service: str) -> int:
+        """Return how many workers may be kept for trials of a service."""
+        return kept_worker_limit(len(self._workers_of(service)))
+
+    def _workers_of(self, service: str) -> list[AvailableWorker]:
+        return self._workers_by_service.get(service, [])
 
     def all_workers(self) -> list[AvailableWorker]:
         """Return every usable worker, those with most free cores first."""
@@ -174,6 +204,38 @@
     )
 
 
+def is_eligible(candidate: Candidate, worker: WorkerInfo) -> bool:
+    """Tell whether a worker has a step's service and label."""
+    required_label = candidate.spec.required_label
+    if worker.service != candidate.queue.service:
+        return False
+    return not required_label or required_label in worker.labels
+
+
+def would_fit(
+    candidate: Candidate, workers: typing.Iterable[WorkerRecord]
+) -> bool:
+    """Tell whether a step would fit on some workers if all was free.
+
+    One task or a whole gang has to fit.
+    """
+    fitting_count = sum(
+        _count_fitting_if_free(candidate, worker.info)
+        for worker in workers
+        if is_eligible(candidate, worker.info)
+    )
+    required_count = candidate.spec.tasks if candidate.spec.is_gang else 1
+    return fitting_count >= required_count
+
+
+def _count_fitting_if_free(candidate: Candidate, worker: WorkerInfo) -> int:
+    spec = candidate.spec
+    fitting_count = count_fitting(spec.resources, worker.capacity)
+    if spec.max_tasks_per_worker:
+        return min(fitting_count, spec.max_tasks_per_worker)
+    return fitting_count
+
+
 def isolation_rank(
     candidate: Candidate, worker: AvailableWorker
 ) -> tuple[int, _PlacementRank]:
@@ -232,5 +294,12 @@
     return fitting_count
 
 
+def task_capacity(
+    candidate: Candidate, workers: typing.Sequence[AvailableWorker]
+) -> int:
+    """Return how many more tasks of a step fit on some workers."""
+    return sum(worker.count_fitting_tasks(candidate) for worker in workers)
+
+
 def _negative_free_cores(worker: AvailableWorker) -> int:
     return -worker.free_resources.cores_m
--- a/libs/workflows/src/cassiahold/workflows/lost_attempts.py
+++ b/libs/workflows/src/cassiahold/workflows/lost_attempts.py
@@ -6,6 +6,7 @@
 and size.
 """
 
+import types
 import typing
 
 import msgspec
@@ -18,6 +19,12 @@
 LOSS_MEMORY_S: typing.Final = 300.0
 MAX_LOST_ATTEMPTS: typing.Final = 4096
 _MS: typing.Final = 1000
+_WEAKER_EVIDENCE: typing.Final = types.MappingProxyType(
+    {
+        CrashEvidence.TRIAL: CrashEvidence.ONLY_RECENT,
+        CrashEvidence.ONLY_RECENT: CrashEvidence.RECENT,
+    }
+)
 
 
 class LostAttempt(msgspec.Struct, frozen=True, array_like=True):
@@ -45,7 +52,7 @@
             return CrashEvidence.NONE
         if incarnation <= self.ended_at * _MS:
             return self.evidence
-        return min(self.evidence, CrashEvidence.RECENT)
+        return _WEAKER_EVIDENCE.get(self.evidence, self.evidence)
 
 
 class LostAttempts:
--- a/libs/workflows/src/cassiahold/workflows/model.py
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -145,7 +145,8 @@
 
     ``last_attempt_number`` is the highest number used so far, ``checkpoint``
     the newest one that an attempt left behind.  ``crash_score`` adds up the
-    evidence that the task crashes its workers.
+    evidence that the task crashes its workers, ``suspect_score`` that since an
+    attempt last ran for a while.  ``crash_count`` counts the crashes.
     """
 
     is_done: bool = False
@@ -154,18 +155,30 @@
     checkpoint: str = ''
     active_attempt: AttemptRecord | None = None
     crash_score: int = 0
+    suspect_score: int = 0
+    crash_count: int = 0
 
 
 class StepRecord(msgspec.Struct, array_like=True):
     """State of a step.
 
     ``remaining_tasks`` counts the tasks that are not done,
-    ``gang_failures`` the failed attempts of all members of a gang.
+    ``gang_failures`` the failed attempts of all members of a gang,
+    ``only_recent_crashes`` the attempts that ended in crashes shortly before
+    which no other job may have had a start.
     """
 
     tasks: list[TaskRecord]
     remaining_tasks: int
     gang_failures: int = 0
+    only_recent_crashes: int = 0
+
+    @property
+    def is_doubted(self) -> bool:
+        """Tell whether tasks have crashed workers and none has ended well."""
+        return bool(
+            self.only_recent_crashes and self.remaining_tasks == len(self.tasks)
+        )
 
 
 class JobRecord(msgspec.Struct, array_like=True):
@@ -222,7 +235,9 @@
 class WorkerRecord(msgspec.Struct):
     """A known worker and the attempts that may be running on it.
 
-    ``suspect_attempts`` are those of tasks that may crash their worker.
+    ``suspect_attempts`` are those of tasks that may crash their worker,
+    ``isolation_s_by_attempt`` tells beside which attempts and for how long
+    after their start nothing else is to start.
     ``sequence`` is that of the newest heartbeat in the log, 0 if unknown.
     ``departed_incarnation`` is the one that left or drained most recently,
     ``replaced_incarnation`` one that is older though its start time is later.
@@ -235,6 +250,9 @@
     )
     speed_estimate: SpeedEstimate = msgspec.field(default_factory=SpeedEstimate)
     suspect_attempts: set[AttemptKey] = msgspec.field(default_factory=set)
+    isolation_s_by_attempt: dict[AttemptKey, float] = msgspec.field(
+        default_factory=dict
+    )
     sequence: int = 0
     departed_incarnation: int | None = None
     replaced_incarnation: int | None = None
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -387,13 +387,12 @@
         task.active_attempt = AttemptRecord(
             start.attempt.attempt_number, start.worker, start.incarnation
         )
-        resources = self.step_spec(key).resources
         self._allocations.allocate(
             record.team,
             start.attempt,
             start.worker,
-            resources,
-            is_suspect=is_suspect(task.crash_score),
+            self.step_spec(key),
+            record.step(key),
         )
         if record.state is JobState.QUEUED:
             record.state = JobState.ACTIVE
@@ -449,12 +448,13 @@
         record = self._data.job_by_id.get(key.step.job)
         if record is None or not record.is_open:
             return
-        task = record.step(key.step).tasks[key.task_index]
-        reason = count_crash(task, lost.evidence)
+        step = record.step(key.step)
+        reason = count_crash(step, key.task_index, lost.evidence, run_s=0.0)
         if reason is not None:
             self._finish_job(record, JobState.FAILED, counted_at, reason)
+        task = step.tasks[key.task_index]
         current = task.active_attempt
-        if current is not None and is_suspect(task.crash_score):
+        if current is not None and is_suspect(task):
             self._allocations.mark_suspect(
                 AttemptKey(key, current.attempt_number), current.worker
             )
--- a/programs/cell/src/cassiahold/cell/attempt_ends.py
+++ b/programs/cell/src/cassiahold/cell/attempt_ends.py
@@ -53,7 +53,9 @@
         worker = self._state.worker_by_id.get(session.info.id)
         if worker is None:
             return
-        evidence_by_attempt = session.weigh_crash(worker.resources_by_attempt)
+        evidence_by_attempt = session.weigh_crash(
+            worker.resources_by_attempt, worker.suspect_attempts
+        )
         self._evidence_by_attempt.update(evidence_by_attempt)
         self._metrics.incr('worker_crashed')
         logs.info(
@@ -114,7 +116,9 @@
             return []
         attempts = list(worker.resources_by_attempt)
         possible_evidence = (
-            {} if is_explained else session.weigh_crash(attempts)
+            {}
+            if is_explained
+            else session.weigh_crash(attempts, worker.suspect_attempts)
         )
         results = [
             self._complete_lost(
