Ask about other workers once an advisor denies one that it had allowed

What callers would see: a step waits for as long as its job is open, although another worker may run it.

Cause: a worker that was denied after all, for example since it had returned as another kind of machine under its id, stayed among the allowed workers. The step asked about it again and again, and about no other.

Failed before: test_worker_that_is_not_allowed_any_more_does_not_hold_its_step (['w', 'w', 'w']).

--- a/libs/workflows/src/cassiahold/workflows/advisor_replies.py
+++ b/libs/workflows/src/cassiahold/workflows/advisor_replies.py
@@ -160,8 +160,10 @@
             token = reply.token_by_worker.get(worker.id)
             if token is None:
                 replies.denied_workers.add(worker.id)
+                replies.allowed_workers.discard(worker.id)
                 continue
             replies.allowed_workers.add(worker.id)
+            replies.denied_workers.discard(worker.id)
             replies.ticket_by_worker[worker.id] = Ticket(
                 token,
                 worker.incarnation,
--- a/libs/workflows/tests/test_planning.py
+++ b/libs/workflows/tests/test_planning.py
@@ -5,6 +5,7 @@
 import msgspec
 from state_fixtures import (
     BIG,
+    QUEUE,
     TEAM,
     StateFixture,
     attempt_key,
@@ -480,4 +481,34 @@
     assert len(group) == 2
 
 
+def test_worker_that_is_not_allowed_any_more_does_not_hold_its_step() -> None:
+    # The worker had returned as another kind of machine under its id; it was
+    # asked about again and again, and the other worker never.
+    cell = StateFixture(
+        'w', 'x', config=configuration(queue_policy(has_advisor=True))
+    )
+    cell.submit('j', step_spec())
+    advisor_replies = AdvisorReplyCache()
+    asked: list[str] = []
+    w = (cell.state.worker_by_id[WorkerId('w')].info,)
+    key = attempt_key('j', 0, 0).task.step
+    advisor_replies.record_query(key, w)
+    advisor_replies.record_reply(
+        key, QUEUE, w, AdvisorReply({WorkerId('w'): 'token'}, 2.0), 0.0
+    )
+    for now in (3.0, 4.0, 5.0):
+        for query in plan(cell, advisor_replies, now).advisor_queries:
+            asked.extend(worker.id for worker in query.workers)
+            advisor_replies.record_query(query.step, query.workers)
+            tokens = {WorkerId('x'): 'token'}
+            advisor_replies.record_reply(
+                query.step,
+                query.queue.name,
+                query.workers,
+                AdvisorReply(tokens, 2.0),
+                now,
+            )
+    assert 'x' in asked, asked
+
+
 load_tests = function_tests(globals())
