Keep the evidence of a crash when the worker restarts once more

What callers would see: a task that crashes its workers starts more often than needed before its job is given up.

Cause: a worker that restarted twice before its attempts were ended, for example under a start that was carried out late, was weighed twice; the second session knew no start, and its evidence replaced that of the first.

Found by a review.

--- a/programs/cell/src/cassiahold/cell/attempt_ends.py
+++ b/programs/cell/src/cassiahold/cell/attempt_ends.py
@@ -56,7 +56,11 @@
         evidence_by_attempt = session.weigh_crash(
             worker.resources_by_attempt, worker.suspect_attempts
         )
-        self._evidence_by_attempt.update(evidence_by_attempt)
+        for attempt, evidence in evidence_by_attempt.items():
+            # A second restart tells less than the first.
+            self._evidence_by_attempt[attempt] = max(
+                evidence, self._evidence_by_attempt.get(attempt, evidence)
+            )
         self._metrics.incr('worker_crashed')
         logs.info(
             'worker_crashed',
--- a/programs/cell/tests/test_worker_crashes.py
+++ b/programs/cell/tests/test_worker_crashes.py
@@ -210,4 +210,18 @@
     assert not leader.sender.stops
 
 
+def test_second_restart_does_not_weaken_the_evidence_of_the_first() -> None:
+    # The worker crashed again before it had replied to a poll, for example
+    # under a start that was carried out late.
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    confirm(leader, start)
+    leader.send_heartbeat('w', incarnation=2)
+    leader.send_heartbeat('w', incarnation=3)
+    leader.reply_to_poll('w', incarnation=3)
+    score = crash_evidence(leader, start)
+    assert score >= CrashEvidence.ONLY_RECENT, score
+
+
 load_tests = function_tests(globals())
