Take a late report of a start for no sign of life

What callers would see: a task that crashes its workers starts more often than needed, and a suspect is tried on a worker that is already dead.

Cause: a report that waited, as the leader's lease had lapsed, counted as a sign of life at the time of its handling. A confirmed start now proves only that the worker lived when the start was sent; replies to polls, which are dropped when they are late, count as before.

Found by a review.

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -163,7 +163,6 @@
 
     def record_clock(self, clock_ms: int, received_at: float) -> None:
         """Record the worker's clock from a reply; ignore older readings."""
-        self._alive_at = max(self._alive_at, received_at)
         if clock_ms >= self._clock_ms:
             self._clock_ms = clock_ms
             self._clock_read_at = received_at
@@ -180,6 +179,8 @@
         start = self._start_by_attempt.get(attempt)
         if start is not None:
             start.confirmed_at = now
+            # The reply may have been reported late.
+            self._alive_at = max(self._alive_at, start.sent_at)
 
     def record_start_without_reply(self, attempt: AttemptKey) -> None:
         """Record that none of the tries to send a start got a reply."""
@@ -278,6 +279,7 @@
         """
         is_first_reply = not self.has_replied
         self.last_reply_at = now
+        self._alive_at = now
         self.is_failing = False
         self._acknowledge_until = now + ACKNOWLEDGEMENT_WINDOW_S
         self.record_clock(reply.clock_ms, now)
--- a/programs/cell/tests/test_worker_crashes.py
+++ b/programs/cell/tests/test_worker_crashes.py
@@ -224,4 +224,20 @@
     assert score >= CrashEvidence.ONLY_RECENT, score
 
 
+def test_late_report_of_a_start_does_not_weaken_its_evidence() -> None:
+    # The worker confirmed the start and crashed at once.  The report waited
+    # 2 s, as the leader's lease had lapsed, and counted as a sign of life.
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    reply = WorkerReply(ReplyStatus.DONE, 1000)
+    leader.service.handle_request(
+        local.StartDone(start.worker.id, start.fence, start.attempt, reply),
+        boottime_s() + 2,
+    )
+    crash_and_restart(leader, 2)
+    score = crash_evidence(leader, start)
+    assert score == CrashEvidence.ONLY_RECENT, score
+
+
 load_tests = function_tests(globals())
