Clear a long-running task after a long run, however it ends

What callers would see: a sound job whose tasks run for ever is shown as failed after five crashes of workers, each after a minute of sound work.

Cause: only a crash after a long run cleared the score, not a stop or a failure; and a leader that had not seen the start knew no running time at all. It now counts for how long it has seen the attempt running.

--- a/libs/workflows/src/cassiahold/workflows/attempt_results.py
+++ b/libs/workflows/src/cassiahold/workflows/attempt_results.py
@@ -89,10 +89,9 @@
     spec = record.spec.steps[key.step_index]
     if task.is_done:
         return None
-    if result.crash is not CrashEvidence.NONE:
-        if _has_proven_run(spec, result):
-            clear_suspicion(step, task)
-            return None
+    if _has_proven_run(spec, result):
+        clear_suspicion(step, task)
+    elif result.crash is not CrashEvidence.NONE:
         return count_crash(
             step,
             result.attempt.task.task_index,
@@ -146,7 +145,7 @@
 
 def _has_proven_run(spec: StepSpec, result: AttemptResult) -> bool:
     """Tell whether an attempt ran too long to have crashed its worker."""
-    return spec.is_long_running and result.duration_s >= PROVEN_RUN_S
+    return spec.is_long_running and result.longest_known_run_s >= PROVEN_RUN_S
 
 
 def _is_task_exhausted(
--- a/libs/workflows/src/cassiahold/workflows/commands.py
+++ b/libs/workflows/src/cassiahold/workflows/commands.py
@@ -67,6 +67,7 @@
     ``duration_s`` is 0 when the start or the end was not observed.  ``crash``
     is set when the worker crashed while the attempt may have been running,
     ``possible_crash`` when the worker was lost and may have crashed.
+    ``observed_s`` is how long the leader has seen the attempt running.
     """
 
     attempt: AttemptKey
@@ -76,6 +77,12 @@
     duration_s: float = 0.0
     crash: CrashEvidence = CrashEvidence.NONE
     possible_crash: CrashEvidence = CrashEvidence.NONE
+    observed_s: float = 0.0
+
+    @property
+    def longest_known_run_s(self) -> float:
+        """How long the attempt ran at least."""
+        return max(self.duration_s, self.observed_s)
 
 
 class EndAttempts(msgspec.Struct, frozen=True, tag='end'):
--- a/libs/workflows/src/cassiahold/workflows/health.py
+++ b/libs/workflows/src/cassiahold/workflows/health.py
@@ -169,6 +169,11 @@
             return 0.0
         return now - progress.started_at
 
+    def observed_run_s(self, attempt: AttemptKey, now: float) -> float:
+        """Return how long an attempt has been seen running."""
+        progress = self._progress_by_attempt.get(attempt)
+        return 0.0 if progress is None else now - progress.started_at
+
     def has_run_for(
         self, attempt: AttemptKey, duration_s: float, now: float
     ) -> bool:
--- a/libs/workflows/tests/test_crashes.py
+++ b/libs/workflows/tests/test_crashes.py
@@ -238,4 +238,23 @@
     assert decoded.crash is CrashEvidence.NONE
 
 
+def test_long_run_clears_a_task_however_it_ends() -> None:
+    # Ten minutes of sound work ended with a stop, as its worker left.
+    cell = StateFixture('w')
+    cell.submit('j', step_spec(is_long_running=True))
+    for number in (1, 2):
+        crash(cell, attempt_key('j', 0, 0, number), CrashEvidence.ONLY_RECENT)
+    attempt = attempt_key('j', 0, 0, 3)
+    cell.start((attempt, 'w'))
+    stopped = commands.AttemptResult(
+        attempt,
+        WorkerId('w'),
+        AttemptOutcome.STOPPED,
+        duration_s=20 * PROVEN_RUN_S,
+    )
+    cell.apply(commands.EndAttempts([stopped], 1.0))
+    (task,) = cell.job('j').steps_by_occurrence[0][0].tasks
+    assert not task.crash_score, task.crash_score
+
+
 load_tests = function_tests(globals())
--- a/programs/cell/src/cassiahold/cell/attempt_ends.py
+++ b/programs/cell/src/cassiahold/cell/attempt_ends.py
@@ -148,11 +148,13 @@
     ) -> commands.AttemptResult:
         """Add the checkpoint, the duration and the evidence of a crash."""
         attempt = result.attempt
+        now = boottime_s()
         return msgspec.structs.replace(
             result,
             checkpoint=result.checkpoint
             or self._checkpoint_by_attempt.get(attempt, ''),
-            duration_s=self._health.attempt_duration_s(attempt, boottime_s()),
+            duration_s=self._health.attempt_duration_s(attempt, now),
+            observed_s=self._health.observed_run_s(attempt, now),
             crash=self._crash_evidence(result),
         )
 
--- a/programs/cell/tests/test_worker_crashes.py
+++ b/programs/cell/tests/test_worker_crashes.py
@@ -1,5 +1,7 @@
 """Tests of tasks that crash the workers on which they start, without I/O."""
 
+from unittest import mock
+
 from leader_fixtures import (
     LeaderFixture,
     confirm,
@@ -8,14 +10,15 @@
     submit,
 )
 
+from cassiahold.cell import attempt_ends, requests
 from cassiahold.cell import local_requests as local
-from cassiahold.cell import requests
 from cassiahold.cell.clients import ReplyStatus, WorkerReply
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.ids import WorkerId
+from cassiahold.core.resources import Resources
 from cassiahold.core.testing import function_tests
-from cassiahold.workflows.crashes import CrashEvidence
-from cassiahold.workflows.model import JobState
+from cassiahold.workflows.crashes import PROVEN_RUN_S, CrashEvidence
+from cassiahold.workflows.model import JobState, StepSpec, WorkflowSpec
 from cassiahold.workflows.sessions import RunningAttempt
 
 MAX_STARTS = 5
@@ -240,4 +243,32 @@
     assert score == CrashEvidence.ONLY_RECENT, score
 
 
+def run_and_crash(leader: LeaderFixture, incarnation: int) -> None:
+    """Let the task of ``w`` run under the next leader and crash ``w``."""
+    start = leader.sender.starts[-1]
+    confirm(leader, start)
+    leader.start_next_term()
+    running = RunningAttempt(start.attempt, '', 10)
+    leader.reply_to_poll('w', (running,), incarnation=incarnation - 1)
+    later = boottime_s() + 2 * PROVEN_RUN_S
+    with mock.patch.object(attempt_ends, 'boottime_s', return_value=later):
+        fail_poll(leader, WorkerId('w'))
+        leader.send_heartbeat('w', incarnation=incarnation)
+        leader.reply_to_poll('w', incarnation=incarnation)
+    leader.apply_due_commands(boottime_s() + 0.1)
+
+
+def test_sound_long_running_task_survives_crashes_after_new_leaders() -> None:
+    # Each crash came after a minute of sound work.  The leader had not seen
+    # the start, so the crash was held against the task.
+    leader = make_leader('w')
+    step = StepSpec(1, Resources(1000, 10), is_long_running=True)
+    spec = WorkflowSpec('payload', (step,))
+    leader.handle(requests.SubmitWork('h', '/q/1', 'key', spec))
+    leader.apply_due_commands()
+    for incarnation in range(2, 7):
+        run_and_crash(leader, incarnation)
+    assert leader.job_state('/q/1') is JobState.ACTIVE, leader.job_state('/q/1')
+
+
 load_tests = function_tests(globals())
