Give a restarted worker no work before it has described itself

What callers would see: a start brings a worker over its capacity (LIMIT), or is refused, after the worker has returned as a smaller machine under its id.

Cause: a poll that found a new incarnation made the worker usable with the capacity, labels and rack of the earlier one, until its first heartbeat.

Found by a review.

--- a/programs/cell/src/cassiahold/cell/heartbeats.py
+++ b/programs/cell/src/cassiahold/cell/heartbeats.py
@@ -81,6 +81,11 @@
             return sequence <= registered_worker.sequence + 1
         return newest.info == info and sequence <= newest.sequence + 1
 
+    def has_sent(self, info: WorkerInfo) -> bool:
+        """Tell whether the newest heartbeat of a worker says this."""
+        newest = self._newest_by_worker.get(info.id)
+        return newest is not None and newest.info == info
+
     def record(self, info: WorkerInfo, sequence: int) -> None:
         """Record the newest heartbeat of a worker."""
         self._newest_by_worker[info.id] = _Heartbeat(info, sequence)
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -98,6 +98,7 @@
             for worker_id, session in self._sessions.session_by_worker.items()
             if session.is_usable(now)
             and not self.ends.is_deregistered(worker_id)
+            and self._is_described(worker_id)
         }
         held_back = self.health.held_back_workers(usable.values(), now)
         return frozenset(usable) - held_back
@@ -147,6 +148,17 @@
         self._metrics.incr(f'job_finished.{state}')
         self._metrics.timing('job', effect.age_s * _MS)
 
+    def _is_described(self, worker_id: WorkerId) -> bool:
+        """Tell whether the present incarnation of a worker described itself.
+
+        A poll that finds a worker restarted tells nothing of its capacity and
+        labels, which may have changed.
+        """
+        record = self._state.worker_by_id.get(worker_id)
+        return record is not None and (
+            record.sequence > 0 or self._heartbeats.has_sent(record.info)
+        )
+
     # Heartbeats.
 
     def record_heartbeat(
--- a/programs/cell/tests/test_capacity_reports.py
+++ b/programs/cell/tests/test_capacity_reports.py
@@ -18,7 +18,7 @@
 from cassiahold.core.metrics import NullMetrics
 from cassiahold.core.resources import Resources
 from cassiahold.core.testing import function_tests
-from cassiahold.workflows.model import WorkerInfo
+from cassiahold.workflows.model import StepSpec, WorkerInfo, WorkflowSpec
 from cassiahold.workflows.sessions import (
     EndedAttempt,
     PollReply,
@@ -172,4 +172,24 @@
     assert MAX_START_AGE_S + REQUEST_TIMEOUT_S < SHRINK_COUNTS_AFTER_S
 
 
+def test_no_start_counts_on_the_capacity_of_an_earlier_incarnation() -> None:
+    # The worker had returned as a smaller machine under its id, and a poll
+    # found it before its first report arrived.
+    cell = LoggedCell()
+    cell.report(1, LARGE)
+    cell.commit()
+    for _ in range(2):
+        cell.poll(incarnation=2)
+        cell.commit()
+    spec = WorkflowSpec('payload', (StepSpec(1, LARGE),))
+    cell.send(requests.SubmitWork('h', '/q/1', 'key', spec))
+    cell.commit()
+    for payload in cell.service.due_commands(boottime_s() + 0.1):
+        cell.service.apply(payload)
+    sent = [start.worker for start in cell.sender.starts]
+    cell.report(1, SMALL, incarnation=2)
+    cell.commit()
+    assert not sent, sent
+
+
 load_tests = function_tests(globals())
--- a/programs/cell/tests/test_incarnations.py
+++ b/programs/cell/tests/test_incarnations.py
@@ -64,6 +64,10 @@
     )
     leader.apply_due_commands(boottime_s() + 0.1)
     leader.apply_due_commands(boottime_s() + 0.2)
+    # Its capacity may be another one now.
+    assert len(leader.sender.starts) == 1
+    leader.send_heartbeat('w', AFTER)
+    leader.apply_due_commands(boottime_s() + 0.3)
     assert len(leader.sender.starts) == 2
 
 
