Let the renewal of leases at the gateway survive any error

Callers saw (or would see): after one reply of the router that took more than 5 s, the gateway renewed its slot leases no more; all live requests there were refused with `cut_off` until an operator restarted the process.

Cause: `PeriodicThread` survived a `CassiaholdError` only, and `slot_usage` raises `TimeoutError`. The thread ended, nothing started it again, and the process went on answering that it was healthy.

A message that made the dispatcher raise stopped the router's actor, and with it the gateway, for all callers: its test failed, the caller waited for its deadline and `slot_usage` timed out.

Now any error is logged with its kind when the calls begin or cease to fail or fail in another way, and the thread goes on. The router logs a message that fails, passes the error to the thread that waits for it and takes the next one.

--- a/libs/core/src/cassiahold/core/exceptions.py
+++ b/libs/core/src/cassiahold/core/exceptions.py
@@ -262,6 +262,18 @@
         return RESPONSE_BY_KIND[self.kind]
 
 
+def kind_name(exc: Exception) -> str:
+    """Return the kind of any exception, as it is logged."""
+    if isinstance(exc, CassiaholdError):
+        return exc.kind.value
+    return type(exc).__name__
+
+
+def detail_of(exc: Exception) -> str:
+    """Return the detail of any exception, as it is logged."""
+    return exc.detail if isinstance(exc, CassiaholdError) else str(exc)
+
+
 class InvariantError(CassiaholdError):
     """An operation that would violate one of the system's invariants.
 
--- a/programs/gateway/src/cassiahold/gateway/http_server.py
+++ b/programs/gateway/src/cassiahold/gateway/http_server.py
@@ -186,6 +186,6 @@
         # Closing the listening socket ends the loop with one of these errors.
         try:
             self._server.run()
-        except (OSError, ValueError) as exc:
+        except Exception as exc:  # noqa: BLE001
             if not self._is_closing:
                 logs.error('http_server_failed', error=repr(exc))
--- a/programs/gateway/src/cassiahold/gateway/lease_renewal.py
+++ b/programs/gateway/src/cassiahold/gateway/lease_renewal.py
@@ -10,7 +10,7 @@
 
 from cassiahold.core import logs
 from cassiahold.core.conf.settings import Settings
-from cassiahold.core.exceptions import CassiaholdError
+from cassiahold.core.exceptions import detail_of, kind_name
 from cassiahold.core.ids import GatewayId, TeamName
 from cassiahold.gateway.authorization import Authorizer, LeasedConfiguration
 from cassiahold.gateway.router import RenewGrants, RouterRef
@@ -32,7 +32,8 @@
 class PeriodicThread:
     """Calls a function at intervals in its own thread until closed.
 
-    A ``CassiaholdError`` is logged when the calls begin or cease to fail.
+    Errors do not end the thread.  They are logged when the calls begin or
+    cease to fail or fail with another kind of error.
     """
 
     def __init__(
@@ -41,7 +42,7 @@
         self._interval_s = interval_s
         self._function = function
         self._name = name
-        self._is_failing = False
+        self._failure_kind = ''  # while the calls fail
         self._stopped = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name=name, daemon=True
@@ -57,19 +58,20 @@
         while not self._stopped.is_set():
             try:
                 self._function()
-            except CassiaholdError as exc:
-                self._log_change(is_failing=True, detail=exc.detail)
+            except Exception as exc:  # noqa: BLE001
+                self._log_change(kind_name(exc), detail_of(exc))
             else:
-                self._log_change(is_failing=False, detail='')
+                self._log_change('', '')
             self._stopped.wait(self._interval_s)
 
-    def _log_change(self, *, is_failing: bool, detail: str) -> None:
-        if is_failing != self._is_failing:
-            self._is_failing = is_failing
+    def _log_change(self, failure_kind: str, detail: str) -> None:
+        if failure_kind != self._failure_kind:
+            self._failure_kind = failure_kind
             logs.info(
                 'sync_changed',
                 sync=self._name,
-                failing=is_failing,
+                failing=bool(failure_kind),
+                kind=failure_kind,
                 detail=detail,
             )
 
--- a/programs/gateway/src/cassiahold/gateway/router.py
+++ b/programs/gateway/src/cassiahold/gateway/router.py
@@ -15,6 +15,7 @@
 
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import ServiceName, TargetId, TeamName
+from cassiahold.core.loops import log_failure
 from cassiahold.routing.dispatcher import (
     Dispatcher,
     Endpoint,
@@ -76,8 +77,15 @@
         self.dispatcher = Dispatcher(max_queue_length, _resolve_future)
 
     def on_receive(self, message: typing.Any) -> None:
-        """Handle one message."""
-        _handle_message(message, self.dispatcher, time.monotonic())
+        """Handle one message.
+
+        An error must not stop the actor for all other requests.
+        """
+        try:
+            _handle_message(message, self.dispatcher, time.monotonic())
+        except Exception as exc:  # noqa: BLE001
+            log_failure(f'router {type(message).__name__}', exc)
+            _fail_message(message, exc)
 
 
 class RouterRef:
@@ -166,6 +174,28 @@
         request.context.set_result(None)
 
 
+@functools.singledispatch
+def _fail_message(message: object, exc: Exception) -> None:
+    """Pass an error on to the thread that waits for a message, if any."""
+
+
+@_fail_message.register
+def _(message: AcquireSlot, exc: Exception) -> None:
+    _fail_future(message.request.context, exc)
+
+
+@_fail_message.register
+def _(message: _GetSlotUsage, exc: Exception) -> None:
+    _fail_future(message.reply, exc)
+
+
+def _fail_future(
+    future: concurrent.futures.Future[typing.Any], exc: Exception
+) -> None:
+    if not future.done():
+        future.set_exception(exc)
+
+
 @functools.singledispatch
 def _handle_message(
     message: object, dispatcher: Dispatcher, now: float
--- a/programs/gateway/tests/test_gateway.py
+++ b/programs/gateway/tests/test_gateway.py
@@ -3,12 +3,14 @@
 The scheduler groups are fakes.
 """
 
+import concurrent.futures
 import contextlib
 import http.client
 import io
 import json
 import resource
 import socket
+import threading
 import time
 import typing
 from unittest import mock
@@ -24,7 +26,13 @@
     new_key,
 )
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind, RetryHint
-from cassiahold.core.ids import GroupName, JobId, KeyId, TeamName
+from cassiahold.core.ids import (
+    GroupName,
+    JobId,
+    KeyId,
+    ServiceName,
+    TeamName,
+)
 from cassiahold.core.metrics import NullMetrics
 from cassiahold.core.testing import expect_error, function_tests
 from cassiahold.gateway.authorization import Authorizer, LeasedConfiguration
@@ -36,7 +44,10 @@
     route,
 )
 from cassiahold.gateway.http_server import HttpServer, RequestTracker
+from cassiahold.gateway.lease_renewal import PeriodicThread
+from cassiahold.gateway.router import start_router
 from cassiahold.gateway.scheduler_groups import SchedulerGroups
+from cassiahold.routing.dispatcher import Dispatcher, SlotRequest
 from cassiahold.routing.retry_after import RefusedCaller
 from cassiahold.wire import messages
 
@@ -380,4 +391,56 @@
             assert response.will_close is is_closed
 
 
+def test_periodic_thread_survives_a_router_that_is_slow_once() -> None:
+    # The renewal of the slot leases ended for good after one time-out.
+    called = threading.Event()
+    calls: list[None] = []
+
+    def renew() -> None:
+        calls.append(None)
+        if len(calls) > 1:
+            called.set()
+            return
+        concurrent.futures.Future().result(0.0)
+
+    with mock.patch('threading.excepthook'):
+        thread = PeriodicThread('slots', 0.01, renew)
+        is_called = called.wait(2.0)
+        thread.close()
+    assert is_called, len(calls)
+
+
+def test_periodic_thread_logs_the_kind_of_an_unexpected_error() -> None:
+    logged = threading.Event()
+    with (
+        mock.patch('threading.excepthook'),
+        mock.patch(
+            'cassiahold.core.logs.info',
+            side_effect=lambda *_, **__: logged.set(),
+        ) as log,
+    ):
+        renew = mock.Mock(side_effect=TimeoutError)
+        with contextlib.closing(PeriodicThread('slots', 0.01, renew)):
+            assert logged.wait(2.0)
+    assert log.call_args.kwargs['kind'] == 'TimeoutError'
+
+
+def test_router_goes_on_after_a_message_that_fails() -> None:
+    # The actor ended, and with it the gateway.
+    failure = ValueError('unexpected')
+    with (
+        contextlib.closing(start_router(10)) as router,
+        mock.patch.object(Dispatcher, 'submit', side_effect=failure),
+    ):
+        request = SlotRequest(
+            ServiceName('prices'), TeamName('red'), time.monotonic() + 5, 0.0
+        )
+        try:
+            router.acquire(request)
+        except ValueError as exc:
+            assert exc is failure
+        assert router.slot_usage().holdings == []
+        assert router.is_alive
+
+
 load_tests = function_tests(globals())
