--- a/programs/cell/src/cassiahold/cell/node.py
+++ b/programs/cell/src/cassiahold/cell/node.py
@@ -8,10 +8,7 @@
 
 import pykka
 
-from cassiahold.agreement.membership_planner import (
-    make_replica_id,
-    replica_address,
-)
+from cassiahold.agreement.membership_planner import make_replica_id
 from cassiahold.agreement.messages import Envelope, Membership
 from cassiahold.agreement.replica import (
     Call,
@@ -29,6 +26,7 @@
 from cassiahold.cell.contacts import CONTACT_INTERVAL_S, ContactSchedule
 from cassiahold.cell.discovery import ReplicaDirectory
 from cassiahold.cell.leader_client import LeaderClient
+from cassiahold.cell.peer_senders import PeerSenders
 from cassiahold.cell.request_sender import ThreadedRequestSender
 from cassiahold.cell.service import CellService
 from cassiahold.cell.settings import (
@@ -48,7 +46,7 @@
 from cassiahold.journal import Journal
 from cassiahold.routing.refusal_hints import RefusalHints
 from cassiahold.wire.security import TransportSecurity
-from cassiahold.wire.transport import Channel, PeerSender, RpcServer
+from cassiahold.wire.transport import RpcServer
 
 REPLY_TIMEOUT_S: typing.Final = 5.0
 TICKS_PER_HEARTBEAT: typing.Final = 5
@@ -74,12 +72,10 @@
     ) -> None:
         check_retry_settings(settings.retry)
         self._settings = settings
-        self._security = security
         self._advisor = advisor
         self._stack = contextlib.ExitStack()
         self._stopped = threading.Event()
-        self._peer_sender_lock = threading.Lock()
-        self._peer_sender_by_address: dict[str, PeerSender] = {}
+        self._peer_senders = PeerSenders(security)
         self._replica: pykka.ActorRef[Replica] | None = None
         self._own_id = ReplicaId('')
         self._refusal_hints = RefusalHints(
@@ -164,13 +160,6 @@
                 ErrorKind.NO_QUORUM, 'the replica has stopped'
             )
 
-    def send(self, envelopes: list[Envelope]) -> None:
-        """Pass consensus messages to the senders for their receivers."""
-        for envelope in envelopes:
-            self._peer_sender_to(replica_address(envelope.receiver)).send(
-                envelope
-            )
-
     # Requests.
 
     def _call_leader(
@@ -297,14 +286,14 @@
             ),
             ReplicaStorage(Journal(journal_folder)),
             service,
-            self,
+            self._peer_senders,
         )
         self._stack.callback(_stop_actor, self._replica)
         request_sender.attach(self._call_replica, self.leader_client)
 
     def _start_threads(self) -> None:
         self._stack.callback(self.leader_client.close)
-        self._stack.callback(self._close_peer_senders)
+        self._stack.callback(self._peer_senders.close)
         self.leader_client.start()
         targets = [self._contact_leader_periodically]
         if self._replica is not None:
@@ -369,21 +358,6 @@
         if replica.is_alive():
             replica.tell(envelope)
 
-    def _peer_sender_to(self, address: str) -> PeerSender:
-        with self._peer_sender_lock:
-            peer_sender = self._peer_sender_by_address.get(address)
-            if peer_sender is None:
-                peer_sender = PeerSender(
-                    Channel(address, self._security, requests.CODEC)
-                )
-                self._peer_sender_by_address[address] = peer_sender
-            return peer_sender
-
-    def _close_peer_senders(self) -> None:
-        with self._peer_sender_lock:
-            for peer_sender in self._peer_sender_by_address.values():
-                peer_sender.close()
-
 
 def _new_future() -> concurrent.futures.Future[typing.Any]:
     return concurrent.futures.Future()
