Let the threads of a cell's process survive any error

Callers would see: work that is held for as long as the leader leads, since a start, stop, poll or advisor query that failed in an unexpected way was never reported; a process that no longer looks for the leader, offers help, asks to join or ticks its replica.

Cause: the loops survived a `CassiaholdError` only. The thread pools of starts and stops drop any other error without a line in the log.

Now such an error is logged with its kind and the loop goes on. A start that failed in this way counts as possibly delivered, as a lost reply does.

--- a/programs/cell/src/cassiahold/cell/advisor_dispatch.py
+++ b/programs/cell/src/cassiahold/cell/advisor_dispatch.py
@@ -16,7 +16,12 @@
 from cassiahold.cell.leader_client import LeaderClient
 from cassiahold.core import logs
 from cassiahold.core.clock import boottime_s
-from cassiahold.core.exceptions import CassiaholdError, ErrorKind
+from cassiahold.core.exceptions import (
+    CassiaholdError,
+    ErrorKind,
+    detail_of,
+    kind_name,
+)
 from cassiahold.workflows.advisor_replies import AdvisorReply
 from cassiahold.workflows.planning import AdvisorQuery
 
@@ -128,13 +133,15 @@
                 reply = self._call_through_helper(
                     address, query, workers, timeout_s
                 )
-        except CassiaholdError as exc:
+        except Exception as exc:  # noqa: BLE001
+            # The next query must find this thread running.
             logs.warning(
                 'advice_failed',
                 job=query.step.job,
                 step=query.step.step_index,
                 host=address,
-                reason=exc.detail,
+                kind=kind_name(exc),
+                reason=detail_of(exc),
             )
             return None
         logs.info(
--- a/programs/cell/src/cassiahold/cell/leader_client.py
+++ b/programs/cell/src/cassiahold/cell/leader_client.py
@@ -12,6 +12,7 @@
 from cassiahold.core import logs
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
+from cassiahold.core.loops import run_step
 from cassiahold.wire.messages import Refusal
 from cassiahold.wire.security import TransportSecurity
 from cassiahold.wire.transport import Channel
@@ -252,6 +253,6 @@
         while not self._stopped.is_set():
             is_view_old = boottime_s() >= located_at + MEMBERSHIP_INTERVAL_S
             if is_view_old or self.leader_silence_s() >= LEADER_FRESH_S:
-                self.locate_leader()
+                run_step('locate', self.locate_leader)
                 located_at = boottime_s()
             self._stopped.wait(LOCATE_INTERVAL_S)
--- a/programs/cell/src/cassiahold/cell/node.py
+++ b/programs/cell/src/cassiahold/cell/node.py
@@ -40,8 +40,14 @@
 from cassiahold.core import logs
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.conf.settings import check_retry_settings
-from cassiahold.core.exceptions import CassiaholdError, ErrorKind
+from cassiahold.core.exceptions import (
+    CassiaholdError,
+    ErrorKind,
+    detail_of,
+    kind_name,
+)
 from cassiahold.core.ids import GroupName, ReplicaId
+from cassiahold.core.loops import run_step
 from cassiahold.core.metrics import Metrics
 from cassiahold.journal import Journal
 from cassiahold.routing.refusal_hints import RefusalHints
@@ -306,15 +312,23 @@
     def _tick_periodically(self) -> None:
         pause_s = self._settings.heartbeat_s / TICKS_PER_HEARTBEAT
         while not self._stopped.wait(pause_s):
-            if self._replica is not None and self._replica.is_alive():
-                self._replica.tell(Tick())
+            run_step('tick', self._tick_replica)
+
+    def _tick_replica(self) -> None:
+        if self._replica is not None and self._replica.is_alive():
+            self._replica.tell(Tick())
 
     def _join_periodically(self) -> None:
         while not self._stopped.wait(JOIN_INTERVAL_S):
             try:
                 self._join_if_not_member()
-            except (CassiaholdError, pykka.ActorDeadError) as exc:
-                logs.info('join_failed', replica=self._own_id, reason=exc)
+            except Exception as exc:  # noqa: BLE001
+                logs.info(
+                    'join_failed',
+                    replica=self._own_id,
+                    kind=kind_name(exc),
+                    reason=detail_of(exc),
+                )
 
     def _join_if_not_member(self) -> None:
         view = self._inspect()
@@ -328,7 +342,6 @@
 
     def _contact_leader_periodically(self) -> None:
         address = '' if self._advisor is None else self._settings.address
-        request = requests.OfferHelp(address)
         schedule = ContactSchedule()
         pause_s = CONTACT_INTERVAL_S
         while not self._stopped.wait(pause_s):
@@ -339,15 +352,21 @@
             )
             if pause_s > 0:
                 continue
-            try:
-                self.leader_client.call_leader(request, CONTACT_INTERVAL_S)
-            except CassiaholdError:
-                # The client logs the failure; retry soon.
-                pause_s = CONTACT_RETRY_S
-            else:
+            pause_s = CONTACT_RETRY_S
+            if run_step('contact', lambda: self._offer_help(address)):
                 schedule.record_offer(boottime_s(), self.directory.leader)
                 pause_s = CONTACT_INTERVAL_S
 
+    def _offer_help(self, address: str) -> bool:
+        try:
+            self.leader_client.call_leader(
+                requests.OfferHelp(address), CONTACT_INTERVAL_S
+            )
+        except CassiaholdError:
+            # The client logs the failure.
+            return False
+        return True
+
     # Consensus messages.
 
     def _receive(self, envelope: Envelope) -> None:
--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -27,7 +27,12 @@
 from cassiahold.cell.settings import POLL_TIMEOUT_SLACK_S, REQUEST_TIMEOUT_S
 from cassiahold.core import logs
 from cassiahold.core.clock import boottime_s
-from cassiahold.core.exceptions import CassiaholdError, ErrorKind
+from cassiahold.core.exceptions import (
+    CassiaholdError,
+    ErrorKind,
+    detail_of,
+    kind_name,
+)
 from cassiahold.workflows.model import AttemptKey, WorkerInfo
 from cassiahold.workflows.planning import AdvisorQuery
 
@@ -129,13 +134,15 @@
             reply = self._workers.poll(
                 request, request.max_wait_s + POLL_TIMEOUT_SLACK_S
             )
-        except CassiaholdError as exc:
+        except Exception as exc:  # noqa: BLE001
+            # The polls renew the lease of the worker and must not end.
             logs.info(
                 'look_failed',
                 worker=worker,
                 fence=request.fence,
                 took_s=boottime_s() - sent_at,
-                reason=exc.detail,
+                kind=kind_name(exc),
+                reason=detail_of(exc),
             )
             threading.Event().wait(FAILED_POLL_PAUSE_S)
             return local.PollDone(worker, request.fence, None, sent_at)
@@ -194,13 +201,13 @@
             except (NotLeaderError, pykka.ActorDeadError):
                 # Another leader is responsible for this worker.
                 return local.SessionClosed()
-            except CassiaholdError as exc:
+            except Exception as exc:  # noqa: BLE001
                 error_count += 1
                 logs.warning(
                     'report_failed',
                     request=type(request).__name__,
-                    kind=exc.kind.value,
-                    reason=exc.detail,
+                    kind=kind_name(exc),
+                    reason=detail_of(exc),
                 )
             threading.Event().wait(REPORT_PAUSE_S)
             request = _outdated_report(request)
@@ -272,9 +279,12 @@
             break
         try:
             reply = call()
-        except CassiaholdError as exc:
-            logs.info('order_unanswered', reason=exc.detail)
-            if exc.kind is not ErrorKind.UNREACHABLE:
+        except Exception as exc:  # noqa: BLE001
+            # Without a report the attempt would be held.
+            logs.info(
+                'order_unanswered', kind=kind_name(exc), reason=detail_of(exc)
+            )
+            if not _is_unreachable(exc):
                 outcome.delivery = local.Delivery.POSSIBLE
             elif outcome.delivery is local.Delivery.NOT_SENT:
                 outcome.delivery = local.Delivery.UNREACHABLE
@@ -286,6 +296,12 @@
     return outcome
 
 
+def _is_unreachable(exc: Exception) -> bool:
+    return (
+        isinstance(exc, CassiaholdError) and exc.kind is ErrorKind.UNREACHABLE
+    )
+
+
 def _is_conclusive(
     reply: WorkerReply, earlier_delivery: local.Delivery
 ) -> bool:
--- a/programs/cell/tests/test_request_sender.py
+++ b/programs/cell/tests/test_request_sender.py
@@ -6,6 +6,7 @@
 import threading
 import time
 import typing
+from unittest import mock
 
 from leader_fixtures import make_leader, submit
 
@@ -293,6 +294,75 @@
     assert isinstance(report, local.AdvisorQueryDone)
 
 
+class FaultyClient:
+    """A client of workers and of the advisor with a programming error."""
+
+    def _raise(self, *_: typing.Any) -> typing.Any:
+        raise ValueError('unexpected')
+
+    start = stop = poll = advise = _raise
+
+
+def report_after_a_fault(
+    send: typing.Callable[[ThreadedRequestSender], None],
+) -> typing.Any:
+    """Return the first report to a leader that fails once unexpectedly."""
+    reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
+    has_failed = threading.Event()
+
+    def handle(request: typing.Any) -> typing.Any:
+        if isinstance(request, local.GetFirstPoll):
+            return PollRequest(WORKER, request.fence, 0, None, 0.0)
+        if not has_failed.is_set():
+            has_failed.set()
+            raise ValueError('unexpected')
+        reports.put(request)
+        return local.SessionClosed()
+
+    client = FaultyClient()
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(mock.patch('threading.excepthook'))
+        sender = ThreadedRequestSender(client, client, 1)
+        stack.callback(sender.close)
+        sender.attach(handle, _UnusedLeaderClient())
+        send(sender)
+        try:
+            return reports.get(timeout=REPEATED_REPORT_S)
+        except queue.Empty:
+            return None
+
+
+def test_start_that_fails_unexpectedly_is_reported() -> None:
+    # Without a report the task was held for as long as the leader led.
+    start = StartRequest(WORKER, attempt_of('first'), '', 1, 1)
+    report = report_after_a_fault(lambda sender: sender.send_start(start))
+    assert isinstance(report, local.StartDone)
+    assert report.delivery is local.Delivery.POSSIBLE
+
+
+def test_stop_that_fails_unexpectedly_is_reported() -> None:
+    stop = StopRequest(WORKER, attempt_of('first'), 1)
+    report = report_after_a_fault(lambda sender: sender.send_stop(stop))
+    assert isinstance(report, local.StopDone)
+
+
+def test_poll_that_fails_unexpectedly_is_reported() -> None:
+    report = report_after_a_fault(
+        lambda sender: sender.start_polling(WORKER, 1)
+    )
+    assert isinstance(report, local.PollDone)
+
+
+def test_advisor_query_that_fails_unexpectedly_is_reported() -> None:
+    query = AdvisorQuery(
+        StepKey(JobId('first'), 0, 0),
+        QueuePolicy(QueueName('q'), 'h', '/q/', ServiceName('s')),
+        (WORKER,),
+    )
+    report = report_after_a_fault(lambda sender: sender.query_advisor(query))
+    assert isinstance(report, local.AdvisorQueryDone)
+
+
 def test_polls_end_when_another_replica_leads() -> None:
     reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
 
