Let the scheduler's and the transport's threads survive any error

Callers would see: a data centre that adopts no configuration and no quota any more; a replica that gets no message from a peer, or no tick, until a process is restarted. A likely cause is a certificate file that is missing for a moment while it is replaced, or a reply of another version.

Cause: an error that is no `CassiaholdError` ended these threads. `OSError` from a missing certificate and `DecodeError` from a malformed reply were passed on as they were. Besides, the scheduler took any error of its replica for "the leader is on another host" and passed over it in silence.

Now each is logged with its kind and the loop goes on; a missing certificate is `bad_settings` (nothing was sent), a malformed reply is `outcome_unknown`.

--- a/libs/wire/src/cassiahold/wire/replica_server.py
+++ b/libs/wire/src/cassiahold/wire/replica_server.py
@@ -29,6 +29,7 @@
 from cassiahold.core.conf.settings import GroupEntry, Settings
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import GroupName, HostName, ReplicaId
+from cassiahold.core.loops import run_step
 from cassiahold.core.metrics import Metrics
 from cassiahold.journal import Journal
 from cassiahold.wire.messages import (
@@ -234,11 +235,14 @@
 
     def _run_ticker(self) -> None:
         pause_s = self._settings.cell.timing.heartbeat_s / _TICKS_PER_HEARTBEAT
-        tick = Tick()
         while not self._stopped.wait(pause_s):
-            for ref in self._actor_by_group.values():
-                with contextlib.suppress(pykka.ActorDeadError):
-                    ref.tell(tick)
+            run_step('ticker', self._tick_replicas)
+
+    def _tick_replicas(self) -> None:
+        tick = Tick()
+        for ref in self._actor_by_group.values():
+            with contextlib.suppress(pykka.ActorDeadError):
+                ref.tell(tick)
 
 
 def _stop_actor(ref: 'pykka.ActorRef[Replica]') -> None:
--- a/libs/wire/src/cassiahold/wire/security.py
+++ b/libs/wire/src/cassiahold/wire/security.py
@@ -42,10 +42,11 @@
         """Return the newest modification time of the files.
 
         It changes when a file is replaced.  Returns 0 for plain text.
+        Raises ``BAD_SETTINGS`` while a file is missing.
         """
         if not self.uses_mutual_tls:
             return 0
-        return max(path.stat().st_mtime for path in self._paths())
+        return max(map(_modification_time, self._paths()))
 
     def bind(self, server: typing.Any, address: str) -> int:
         """Add a listening address to a gRPC server and return its port.
@@ -105,8 +106,19 @@
             try:
                 contents.append(path.read_bytes())
             except OSError as exc:
-                raise CassiaholdError(
-                    ErrorKind.BAD_SETTINGS,
-                    f'cannot read TLS file {path}: {exc.strerror}',
-                ) from exc
+                raise _file_error(path, exc) from exc
         return _TlsFiles(*contents)
+
+
+def _modification_time(path: pathlib.Path) -> float:
+    try:
+        return path.stat().st_mtime
+    except OSError as exc:
+        raise _file_error(path, exc) from exc
+
+
+def _file_error(path: pathlib.Path, exc: OSError) -> CassiaholdError:
+    return CassiaholdError(
+        ErrorKind.BAD_SETTINGS,
+        f'cannot read TLS file {path}: {exc.strerror}',
+    )
--- a/libs/wire/src/cassiahold/wire/transport.py
+++ b/libs/wire/src/cassiahold/wire/transport.py
@@ -19,6 +19,7 @@
 from cassiahold.core.drain_rate import DrainRate
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind, RetryHint
 from cassiahold.core.ids import GroupName
+from cassiahold.core.loops import log_failure
 from cassiahold.core.metrics import Metrics, NullMetrics
 from cassiahold.wire.call_admission import CallAdmission
 from cassiahold.wire.messages import Refusal, Reply, Request
@@ -282,7 +283,7 @@
         """Send one request and return its reply.
 
         Raises ``UNREACHABLE`` when the request cannot have arrived and
-        ``OUTCOME_UNKNOWN`` when it may have.
+        ``OUTCOME_UNKNOWN`` when it may have, or its reply is malformed.
         """
         payload = _encode(CallEnvelope(group, request, traceparent))
         connection = self._open_connection()
@@ -290,7 +291,13 @@
             raw_reply = connection.call(_CALL_METHOD, payload, timeout_s)
         except grpc.RpcError as exc:
             raise self._error_for(exc, connection) from exc
-        return self._codec.decode_reply(raw_reply)
+        try:
+            return self._codec.decode_reply(raw_reply)
+        except msgspec.DecodeError as exc:
+            raise CassiaholdError(
+                ErrorKind.OUTCOME_UNKNOWN,
+                f'{self.address}: cannot decode the reply: {exc}',
+            ) from exc
 
     def deliver(self, envelopes: list[Envelope]) -> None:
         """Send replica messages in one RPC.
@@ -407,8 +414,10 @@
             # Queued messages are outdated when the peer is reachable again.
             self._queue.clear()
             return False
-        except ValueError:
-            # gRPC raises it for a call on a closed channel.
+        except Exception as exc:  # noqa: BLE001
+            # gRPC raises ValueError for a call on a closed channel.
+            if not self._is_stopped:
+                log_failure(f'sender {self._channel.address}', exc)
             return False
         return True
 
--- a/libs/wire/tests/test_transport.py
+++ b/libs/wire/tests/test_transport.py
@@ -3,14 +3,24 @@
 import contextlib
 import pathlib
 import socket
+import tempfile
 import threading
 import time
 import typing
+from unittest import mock
 
 from cassiahold.agreement.messages import Envelope, VoteRequest
-from cassiahold.core.conf.settings import TlsSettings
+from cassiahold.core.conf.settings import (
+    CellSettings,
+    GroupEntry,
+    HostEntry,
+    HostSettings,
+    Settings,
+    TlsSettings,
+)
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
-from cassiahold.core.ids import GroupName, ReplicaId
+from cassiahold.core.ids import DataCentre, GroupName, HostName, ReplicaId
+from cassiahold.core.metrics import NullMetrics
 from cassiahold.core.testing import expect_error, function_tests
 from cassiahold.wire.group_client import GroupClient
 from cassiahold.wire.messages import (
@@ -21,8 +31,9 @@
     Reply,
     Request,
 )
+from cassiahold.wire.replica_server import ReplicaServer
 from cassiahold.wire.security import TransportSecurity
-from cassiahold.wire.transport import Channel, RpcServer
+from cassiahold.wire.transport import Channel, PeerSender, RpcServer
 
 PLAIN = TransportSecurity(TlsSettings(mode='plain'), pathlib.Path())
 GROUP = GroupName('g')
@@ -428,4 +439,96 @@
     assert channel.calls == 1
 
 
+class _FaultyChannel:
+    """Raises an unexpected error for the first batch only."""
+
+    address = 'a:1'
+
+    def __init__(self) -> None:
+        self.has_failed = threading.Event()
+        self.is_delivered = threading.Event()
+
+    def deliver(self, envelopes: list[Envelope]) -> None:
+        if not self.has_failed.is_set():
+            self.has_failed.set()
+            raise OSError('unexpected')
+        self.is_delivered.set()
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+def test_sender_to_a_peer_goes_on_after_an_unexpected_error() -> None:
+    # The peer got no message of this replica until the process restarted.
+    envelope = Envelope(GROUP, A, B, VoteRequest(1, A, 0, 0))
+    channel = _FaultyChannel()
+    with (
+        mock.patch('threading.excepthook'),
+        mock.patch('cassiahold.core.logs.error') as log,
+        contextlib.closing(PeerSender(channel)) as sender,
+    ):
+        sender.send(envelope)
+        assert channel.has_failed.wait(2.0)
+        sender.send(envelope)
+        assert channel.is_delivered.wait(2.0)
+    assert log.call_args.kwargs['kind'] == 'OSError'
+
+
+def test_missing_certificate_is_an_error_with_a_kind() -> None:
+    # While it was replaced, FileNotFoundError ended the threads that called.
+    with tempfile.TemporaryDirectory() as folder:
+        files = [pathlib.Path(folder) / name for name in ('a', 'c', 'k')]
+        for path in files:
+            path.touch()
+        security = TransportSecurity(
+            TlsSettings('mutual', 'a', 'c', 'k'), pathlib.Path(folder)
+        )
+        files[1].unlink()
+        expect_error(ErrorKind.BAD_SETTINGS, security.newest_mtime)
+
+
+def test_malformed_reply_means_may_have_run() -> None:
+    # DecodeError ended the threads that called.
+    address = free_address()
+    with (
+        server(address, lambda group, request: 'no reply of the interface'),
+        contextlib.closing(Channel(address, PLAIN)) as channel,
+    ):
+        expect_error(
+            ErrorKind.OUTCOME_UNKNOWN,
+            lambda: channel.call(GROUP, GetStatus(), 2.0),
+        )
+
+
+def test_ticks_go_on_after_an_unexpected_error() -> None:
+    # Without ticks a replica neither leads nor votes.
+    ticked_again = threading.Event()
+    ticks: list[typing.Any] = []
+
+    def tell(tick: typing.Any) -> None:
+        ticks.append(tick)
+        if len(ticks) == 1:
+            raise ValueError('unexpected')
+        ticked_again.set()
+
+    host = HostEntry(HostName('h'), DataCentre('here'), '', free_address())
+    group = GroupEntry(GROUP, [host.name])
+    settings = Settings(
+        HostSettings(host.name, '', '', tls=TlsSettings(mode='plain')),
+        CellSettings('test', [host], [group], group),
+        host,
+        pathlib.Path(),
+    )
+    with (
+        mock.patch('threading.excepthook'),
+        contextlib.closing(
+            ReplicaServer(
+                'test', 'scheduler', settings, [], mock.Mock(), NullMetrics()
+            )
+        ) as replica_server,
+    ):
+        replica_server._actor_by_group[GROUP] = mock.Mock(tell=tell)
+        assert ticked_again.wait(2.0)
+
+
 load_tests = function_tests(globals())
--- a/programs/scheduler/src/cassiahold/scheduler/coordinator_sync.py
+++ b/programs/scheduler/src/cassiahold/scheduler/coordinator_sync.py
@@ -4,12 +4,14 @@
 coordinator returns a newer configuration and a newer quota offer.
 """
 
-import contextlib
+import functools
 import threading
 
+from cassiahold.agreement.replica import NotLeaderError
 from cassiahold.core import logs
 from cassiahold.core.exceptions import CassiaholdError
 from cassiahold.core.ids import GroupName
+from cassiahold.core.loops import run_step
 from cassiahold.scheduler.handlers import (
     AdoptCoordinatorUpdate,
     BuildCoordinatorSync,
@@ -51,14 +53,17 @@
     def _run(self) -> None:
         while not self._stopped.wait(self._interval_s):
             for group in self._groups:
-                self._sync_group(group)
+                run_step(
+                    f'exchange {group}',
+                    functools.partial(self._sync_group, group),
+                )
 
     def _sync_group(self, group: GroupName) -> None:
         try:
             sync = self._replica_server.call_local(
                 group, BuildCoordinatorSync()
             )
-        except CassiaholdError:
+        except NotLeaderError:
             return  # The leader of this group is on another host.
         if not isinstance(sync, SchedulerSync):
             return
@@ -71,10 +76,9 @@
         if isinstance(update, SchedulerUpdate) and (
             update.configuration is not None or update.offer is not None
         ):
-            with contextlib.suppress(CassiaholdError):
-                self._replica_server.call_local(
-                    group, AdoptCoordinatorUpdate(update)
-                )
+            self._replica_server.call_local(
+                group, AdoptCoordinatorUpdate(update)
+            )
 
     def _log_reachability(self, *, is_reachable: bool, detail: str) -> None:
         if is_reachable != self._was_reachable:
