Keep an operator's drain of a worker that is away longer than its lease

Callers would see: tasks are started on a worker that an operator has drained, as soon as it returns after its lease has lapsed.

Cause: a worker that departs was removed with its record when its lease lapsed, and the operator's drain with it.

Evidence before the mend: the test of a drain that stays failed for the longer silence, the returned worker got a start.

Now only a worker that leaves by itself is removed; the record of one that an operator drains is kept as lost, until it returns.

The tests that it lacked are added: a worker that left is forgotten after its lease, and states and log entries without the mark of a leaving worker are read.

--- a/libs/cellstate/tests/test_scheduling.py
+++ b/libs/cellstate/tests/test_scheduling.py
@@ -2,6 +2,7 @@
 
 import typing
 
+import msgspec
 from group_state import (
     RED,
     TASK,
@@ -304,4 +305,26 @@
     assert worker.is_draining
 
 
+def test_states_and_logs_without_the_mark_of_a_leaving_worker_are_read() -> (
+    None
+):
+    # They were written before workers that leave had a mark of their own.
+    state = configured_state()
+    drain = commands.DrainWorker(W1, is_draining=True)
+    state.apply(commands.encode_command(drain))
+    stored = msgspec.msgpack.decode(state.snapshot())
+    workers = next(
+        each for each in stored if isinstance(each, dict) and W1 in each
+    )
+    for worker in workers.values():
+        worker.pop()
+    state.restore(msgspec.msgpack.encode(stored))
+    assert state.worker_by_id[W1].is_draining
+    assert not state.worker_by_id[W1].is_leaving
+    old_command = commands.decode_command(
+        msgspec.msgpack.encode(('drain', W1, True))
+    )
+    assert old_command == drain
+
+
 load_tests = function_tests(globals())
--- a/programs/scheduler/src/cassiahold/scheduler/control_loop.py
+++ b/programs/scheduler/src/cassiahold/scheduler/control_loop.py
@@ -102,7 +102,7 @@
             record = self._state.worker_by_id.get(worker)
             if record is None:
                 self._sessions.close_session(worker)
-            elif record.is_departing:
+            elif record.is_leaving and not record.is_draining:
                 departed.append(worker)
             elif not record.is_lost:
                 lost.append(worker)
--- a/programs/scheduler/tests/test_service.py
+++ b/programs/scheduler/tests/test_service.py
@@ -3,6 +3,7 @@
 from leader_driver import (
     LEASE_BOUND_S,
     RED,
+    LeaderDriver,
     command_kinds,
     ended_attempt,
     running_attempt,
@@ -215,4 +216,33 @@
         )
 
 
+def commands_of_returned_worker(
+    leader: LeaderDriver, incarnation: int
+) -> list[CommandKind]:
+    leader.report(incarnation=incarnation)
+    leader.submit()
+    leader.advance(1.0)
+    return command_kinds(leader.report(incarnation=incarnation))
+
+
+def test_drain_by_an_operator_stays_when_the_worker_returns() -> None:
+    for silence_s in (1.0, 2 * LEASE_BOUND_S):
+        with running_leader(workers=1) as leader:
+            leader.send(messages.Drain(WorkerId('w0'), is_draining=True))
+            leader.report(leaving=True)
+            leader.advance(silence_s)
+            assert not commands_of_returned_worker(leader, incarnation=2)
+            leader.send(messages.Drain(WorkerId('w0'), is_draining=False))
+            leader.advance(1.0)
+            reply = leader.report(incarnation=2)
+            assert command_kinds(reply) == [CommandKind.START]
+
+
+def test_worker_that_left_is_forgotten_after_its_lease() -> None:
+    with running_leader(workers=1) as leader:
+        leader.report(leaving=True)
+        leader.advance(2 * LEASE_BOUND_S)
+        assert not leader.state.worker_by_id
+
+
 load_tests = function_tests(globals())
