Release the reservation of a gang that its workers cannot hold any more

Callers would see: idle workers and waiting tasks for up to 600 s, again and again, after one of the workers reserved for a gang had left, drained or failed.

Cause: a reservation was released when it expired or its job no longer waited; whether the workers that remained could ever hold the gang was checked only when it was made.

Now each round releases a reservation whose remaining workers, that accept tasks, have no capacity for the whole gang (for one task of another job). The gang may reserve others in the same round.

--- a/libs/policy/src/cassiahold/policy/planner.py
+++ b/libs/policy/src/cassiahold/policy/planner.py
@@ -165,7 +165,7 @@
         Reservations and evictions follow only when starts are left over, that
         is when everything that fits has been placed.
         """
-        self.reservations.release_expired(self.waiting_jobs, now)
+        self.reservations.release_obsolete(self.waiting_jobs, now)
         self.trials.release_expired(self._is_suspect_waiting, now)
         planning = PlanningRound(self, now, max_starts)
         if self.must_check_limits:
--- a/libs/policy/src/cassiahold/policy/reservations.py
+++ b/libs/policy/src/cassiahold/policy/reservations.py
@@ -96,20 +96,36 @@
                 worker.reserved_for = ''
                 self._worker_pool.reindex(worker)
 
-    def release_expired(self, waiting_jobs: WaitingJobs, now: float) -> None:
+    def release_obsolete(self, waiting_jobs: WaitingJobs, now: float) -> None:
         """Release reservations that cannot help their job any more.
 
-        They have expired, their job no longer waits, or one of their workers
-        is gone or gets no tasks, so that other workers must be chosen.
+        They have expired, their job no longer waits, one of their workers is
+        gone or gets no tasks, or the workers will not have enough capacity.
+        The job may reserve other workers in the same round.
         """
         for reservation in list(self.reservation_by_job.values()):
+            job = waiting_jobs.job_by_id.get(reservation.job)
             if (
-                now >= reservation.expires_at
-                or reservation.job not in waiting_jobs.job_by_id
+                job is None
+                or now >= reservation.expires_at
                 or not all(map(self._is_usable, reservation.workers))
+                or not self._has_capacity(reservation, job)
             ):
                 self.release(reservation.job)
 
+    def _has_capacity(self, reservation: Reservation, job: WaitingJob) -> bool:
+        """Tell whether the reserved workers will have capacity for a job.
+
+        A gang needs it for all tasks, another job for one.
+        """
+        needed = len(job.pending_indexes) if job.is_gang else 1
+        for worker_id in reservation.workers:
+            worker = self._worker_pool.worker_by_id[worker_id]
+            # A worker that was removed and has returned is not reserved.
+            if worker.reserved_for == job.id:
+                needed -= self._reclaimable_task_count(worker, job.shape)
+        return needed <= 0
+
     def may_backfill(self, job: WaitingJob, now: float) -> bool:
         """Tell whether a job ends before any reservation can be used.
 
--- a/libs/policy/src/cassiahold/policy/workers.py
+++ b/libs/policy/src/cassiahold/policy/workers.py
@@ -94,7 +94,7 @@
 
     @property
     def is_usable(self) -> bool:
-        """Tell whether the worker gets tasks at all."""
+        """Tell whether the worker gets tasks at all, now or as others end."""
         return self.state in _ELIGIBLE_STATES
 
     def fits(self, shape: TaskShape) -> bool:
--- a/libs/policy/tests/test_planner.py
+++ b/libs/policy/tests/test_planner.py
@@ -21,6 +21,7 @@
 from cassiahold.core.states import JobKind
 from cassiahold.core.testing import function_tests
 from cassiahold.policy.capacity_index import grid_level
+from cassiahold.policy.planner import Planner
 from cassiahold.policy.shapes import TaskShape
 from cassiahold.policy.shares import Claim, entitlements
 from cassiahold.policy.teams import TeamLimits
@@ -290,6 +291,60 @@
                     break
 
 
+def gang_with_a_reservation(workers: int, tasks: int) -> Planner:
+    """Return a planner whose workers are all reserved for a gang at 11.0."""
+    planner = new_planner(workers)
+    submit(planner, 'small', 4 * workers)
+    planner.plan(0.0)
+    submit(planner, 'gang', tasks, BLUE, waiting_since=0.0, kind=JobKind.GANG)
+    planner.plan(11.0)
+    assert list(planner.reservations.reservation_by_job) == ['gang']
+    return planner
+
+
+def test_gang_that_fits_no_more_does_not_keep_its_workers() -> None:
+    # One of the reserved workers had left; the other one stayed idle.
+    planner = gang_with_a_reservation(workers=2, tasks=8)
+    planner.worker_pool.remove(WorkerId('w1'))
+    for index in range(8):
+        end_task(planner, 'small', index)
+    submit(planner, 'waiting', 1, waiting_since=12.0)
+    names = [
+        name
+        for now in range(12, 60)
+        for name in started_jobs(planner.plan(float(now)))
+    ]
+    assert names == ['waiting'], names
+
+
+def test_gang_whose_reserved_workers_drain_reserves_others() -> None:
+    # It waited for its reservation to expire, 600 s in all.
+    planner = gang_with_a_reservation(workers=1, tasks=4)
+    draining = planner.worker_pool.worker_by_id[WorkerId('w0')]
+    draining.state = WorkerState.DRAINING
+    planner.worker_pool.reindex(draining)
+    other = Worker(WorkerId('w9'), SIZE)
+    planner.worker_pool.add(other)
+    for index in range(3):
+        planner.worker_pool.allocate(other, f'x{index}', Resources(1000, 1000))
+    assert not started_jobs(planner.plan(12.0))
+    assert other.reserved_for == 'gang'
+    for index in range(3):
+        planner.worker_pool.release(other, f'x{index}')
+    assert started_jobs(planner.plan(13.0)) == ['gang'] * 4
+
+
+def test_reserved_worker_that_was_removed_and_returns_is_reserved_anew() -> (
+    None
+):
+    planner = gang_with_a_reservation(workers=2, tasks=8)
+    planner.worker_pool.remove(WorkerId('w1'))
+    returned = Worker(WorkerId('w1'), SIZE)
+    planner.worker_pool.add(returned)
+    planner.plan(12.0)
+    assert returned.reserved_for == 'gang'
+
+
 def test_reserved_worker_is_found_beside_one_of_another_job() -> None:
     # Both were idle and alike; the search took one of them for both.
     planner = new_planner(workers=2)
