Reserve only workers that may take all tasks of a gang at once

Reserved workers get little other work, so they stay unproven.

Cause: a reservation counted the capacity of a worker, not its limit of attempts at once, and a gang is placed within that limit.

Evidence before the mend: the new test failed, the waiting task did not start on the idle worker.

Now the limit counts, when a reservation is made and when it is checked.

--- a/libs/policy/src/cassiahold/policy/reservations.py
+++ b/libs/policy/src/cassiahold/policy/reservations.py
@@ -174,15 +174,23 @@
         return chosen if needed <= 0 else []
 
     def _reclaimable_task_count(self, worker: Worker, shape: TaskShape) -> int:
-        """Return how many tasks fit once all but services have ended."""
+        """Return how many tasks fit once all but services have ended.
+
+        An unproven worker takes only a few at a time.
+        """
         allocated_to_services = NO_RESOURCES
+        service_count = 0
         for key in worker.allocation_by_key:
             task = self._task_by_key.get(TaskKey(key))
             if task is not None and task.kind is JobKind.SERVICE:
                 allocated_to_services += task.resources
-        return _fitting_task_count(
+                service_count += 1
+        fitting = _fitting_task_count(
             shape, worker.capacity - allocated_to_services
         )
+        if worker.concurrency_limit is None:
+            return fitting
+        return min(fitting, worker.concurrency_limit - service_count)
 
     def _expected_ready_at(self, reservation: Reservation) -> float:
         # Ready once the last task with a known end has ended.
--- a/libs/policy/tests/test_planner.py
+++ b/libs/policy/tests/test_planner.py
@@ -345,6 +345,21 @@
     assert returned.reserved_for == 'gang'
 
 
+def test_gang_reserves_no_worker_that_takes_too_few_tasks_at_once() -> None:
+    # The worker was idle for 600 s, for the gang never fitted.
+    planner = new_planner(workers=1)
+    worker = planner.worker_pool.worker_by_id[WorkerId('w0')]
+    worker.concurrency_limit = 3
+    submit(planner, 'small', 2)
+    planner.plan(0.0)
+    submit(planner, 'gang', 4, BLUE, kind=JobKind.GANG)
+    planner.plan(11.0)
+    for index in range(2):
+        end_task(planner, 'small', index)
+    submit(planner, 'waiting', 1, waiting_since=12.0)
+    assert started_jobs(planner.plan(13.0)) == ['waiting']
+
+
 def test_reserved_worker_is_found_beside_one_of_another_job() -> None:
     # Both were idle and alike; the search took one of them for both.
     planner = new_planner(workers=2)
