Count the failures of a job without a name by itself for its backoff

Callers would see: a sound job without a name that failed once waits for up to 300 s, since other jobs of its team without a name have failed before.

Cause: the failures in a row were counted by team and job name, and all unnamed jobs share the name ''.

Evidence before the mend: in the scheduler service with one worker, a job that failed once after three failures of another unnamed job was not started again 6.5 s later (it would wait 8 s): the new test failed.

Now the backoff is counted in a module of its own, by name or else by job. Which worker is at fault is still judged by team and name: if unnamed jobs counted as different work there, a flood of bad ones would quarantine workers.

--- a/libs/policy/src/cassiahold/policy/failure_tracking.py
+++ b/libs/policy/src/cassiahold/policy/failure_tracking.py
@@ -15,7 +15,8 @@
 
 import msgspec
 
-from cassiahold.core.ids import TeamName, WorkerId
+from cassiahold.core.ids import JobId, TeamName, WorkerId
+from cassiahold.policy.backoff import BackoffTracker
 
 MAX_REMEMBERED_JOB_NAMES: typing.Final = 20_000
 # Attempts at once on a worker that has had no success yet.
@@ -29,9 +30,8 @@
 SUSPENSION_S: typing.Final = 5.0
 # A task that has run this long did not fail immediately.
 HEALTHY_START_S: typing.Final = 3.0
-FIRST_BACKOFF_S: typing.Final = 1.0
-MAX_BACKOFF_S: typing.Final = 300.0
-_MAX_DOUBLINGS: typing.Final = 16  # of backoff and quarantine times
+_MAX_DOUBLINGS: typing.Final = 16  # of quarantine times
+_NO_JOB: typing.Final = JobId('')
 
 
 class WorkerTrust(enum.Enum):
@@ -69,7 +69,6 @@
 class _JobNameHistory(msgspec.Struct):
     # Some task of this name succeeded, or did not fail immediately.
     is_known_good: bool = False
-    failure_streak: int = 0
     failed_workers: set[WorkerId] = msgspec.field(default_factory=set)
 
 
@@ -97,6 +96,7 @@
         self._history_by_job_name: collections.OrderedDict[
             tuple[TeamName, str], _JobNameHistory
         ] = collections.OrderedDict()
+        self._backoff_tracker = BackoffTracker()
 
     def add_worker(self, worker: WorkerId, rack: str = '') -> None:
         """Add a worker; one that restarted has to prove itself again."""
@@ -128,12 +128,16 @@
         )
 
     def record_success(
-        self, worker: WorkerId, team: TeamName, name: str
+        self,
+        worker: WorkerId,
+        team: TeamName,
+        name: str,
+        job: JobId = _NO_JOB,
     ) -> bool:
         """Record a success; return whether the worker's limit may change."""
+        self._backoff_tracker.record_success(team, name, job)
         name_history = self._job_name_history(team, name)
         name_history.is_known_good = True
-        name_history.failure_streak = 0
         name_history.failed_workers.clear()
         history = self.history_by_worker.setdefault(worker, WorkerHistory())
         changed = (
@@ -162,17 +166,17 @@
         return False
 
     def record_failure(
-        self, worker: WorkerId, team: TeamName, name: str, now: float
+        self,
+        worker: WorkerId,
+        team: TeamName,
+        name: str,
+        now: float,
+        job: JobId = _NO_JOB,
     ) -> FailureAssessment:
         """Record a failure and return its consequences."""
+        backoff_s = self._backoff_tracker.record_failure(team, name, job)
         name_history = self._job_name_history(team, name)
-        name_history.failure_streak += 1
         name_history.failed_workers.add(worker)
-        backoff_s = min(
-            FIRST_BACKOFF_S
-            * 2 ** min(name_history.failure_streak - 1, _MAX_DOUBLINGS),
-            MAX_BACKOFF_S,
-        )
         history = self.history_by_worker.setdefault(worker, WorkerHistory())
         is_job_fault = len(
             name_history.failed_workers
--- a/libs/policy/tests/test_learning.py
+++ b/libs/policy/tests/test_learning.py
@@ -1,6 +1,6 @@
 """Tests of resource estimates and of failure tracking."""
 
-from cassiahold.core.ids import TeamName, WorkerId
+from cassiahold.core.ids import JobId, TeamName, WorkerId
 from cassiahold.core.resources import Resources
 from cassiahold.core.testing import function_tests
 from cassiahold.policy.estimates import MIN_SAMPLES, Estimator
@@ -130,4 +130,27 @@
     ).is_worker_quarantined
 
 
+def backoff_s(tracker: FailureTracker, name: str, job: str) -> float:
+    return tracker.record_failure(
+        worker_id(0), RED, name, 0.0, JobId(job)
+    ).backoff_s
+
+
+def test_failures_of_unnamed_jobs_do_not_delay_other_unnamed_jobs() -> None:
+    # One failure of a sound job waited for 300 s after a streak of others.
+    tracker = FailureTracker()
+    for number in range(30):
+        backoff_s(tracker, '', f'bad{number % 3}')
+    assert backoff_s(tracker, '', 'sound') == 1.0
+    assert backoff_s(tracker, '', 'bad0') == 300.0
+
+
+def test_failures_of_a_named_job_delay_the_next_job_of_that_name() -> None:
+    tracker = FailureTracker()
+    assert backoff_s(tracker, 'work', 'first') == 1.0
+    assert backoff_s(tracker, 'work', 'second') == 2.0
+    tracker.record_success(worker_id(1), RED, 'work', JobId('third'))
+    assert backoff_s(tracker, 'work', 'fourth') == 1.0
+
+
 load_tests = function_tests(globals())
--- a/programs/scheduler/src/cassiahold/scheduler/worker_reports.py
+++ b/programs/scheduler/src/cassiahold/scheduler/worker_reports.py
@@ -202,12 +202,12 @@
                     task, task.peak_usage, ended.ran_s
                 )
             if planner.failure_tracker.record_success(
-                report.worker, record.team, job_name
+                report.worker, record.team, job_name, record.id
             ):
                 self._projection.update_worker_state(report.worker)
         elif ended.outcome is AttemptOutcome.FAILED:
             assessment = planner.failure_tracker.record_failure(
-                report.worker, record.team, job_name, now
+                report.worker, record.team, job_name, now, record.id
             )
             counts_against_job = assessment.counts_against_job
             self._projection.set_backoff(
--- a/programs/scheduler/tests/test_service.py
+++ b/programs/scheduler/tests/test_service.py
@@ -238,6 +238,29 @@
             assert command_kinds(reply) == [CommandKind.START]
 
 
+def fail_all_starts(leader: LeaderDriver) -> None:
+    leader.advance(1.0)
+    failed = [
+        ended_attempt(start.attempt, AttemptOutcome.FAILED)
+        for start in leader.report().commands
+    ]
+    assert failed
+    leader.report(ended=failed)
+
+
+def test_sound_unnamed_job_is_retried_soon_after_failures_of_another() -> None:
+    # It waited for 8 s here, for up to 300 s after more failures.
+    with running_leader(workers=1) as leader:
+        bad = leader.submit('bad', tasks=3)
+        fail_all_starts(leader)
+        leader.send(messages.Cancel([bad], RED))
+        leader.submit('sound')
+        fail_all_starts(leader)
+        # The worker is suspended for 5 s.
+        leader.advance(6.5)
+        assert command_kinds(leader.report()) == [CommandKind.START]
+
+
 def test_worker_that_left_is_forgotten_after_its_lease() -> None:
     with running_leader(workers=1) as leader:
         leader.report(leaving=True)
