Let stops to silent workers not delay the stops to other workers

Callers would see: after a host with many attempts has failed, tasks elsewhere whose job was cancelled or whose gang broke hold their resources for many seconds, since the stops that free them wait behind those to the dead host.

Cause: a stop to a silent worker took eight tries of 0.4 s on one of 16 threads, and went on after the worker had been removed.

Evidence before the mend: behind 64 stops to a silent worker, a stop to another one was reported after 12.8 s. A stop was tried eight times after its session had ended.

Now first tries have threads of their own, and a stop without a reply is repeated by others, one try in turn. Meanwhile further stops of the session are given up: polls go on, and the first reply to one has them sent again, as after eight failed tries before. When the polls of a session end, its stops are withdrawn.

--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -17,14 +17,14 @@
 from cassiahold.cell.clients import (
     AdvisorClient,
     PollRequest,
-    ReplyStatus,
     StartRequest,
     StopRequest,
     WorkerClient,
-    WorkerReply,
 )
 from cassiahold.cell.leader_client import LeaderClient
 from cassiahold.cell.settings import POLL_TIMEOUT_SLACK_S, REQUEST_TIMEOUT_S
+from cassiahold.cell.stop_sender import StopSender
+from cassiahold.cell.tries import Tries, try_again
 from cassiahold.core import logs
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.exceptions import (
@@ -41,15 +41,9 @@
 MAX_START_TRIES: typing.Final = 4
 # After a longer suspension of this process another one may lead.
 MAX_START_AGE_S: typing.Final = 2.0
-STOP_THREADS: typing.Final = 16
-MAX_STOP_TRIES: typing.Final = 8
 FAILED_POLL_PAUSE_S: typing.Final = 0.1
 REPORT_PAUSE_S: typing.Final = 0.1  # before a report is repeated
 MAX_REPORT_ERRORS: typing.Final = 3
-# The worker carries out no earlier try after such a reply.
-CONCLUSIVE_STATUSES: typing.Final = frozenset(
-    (ReplyStatus.DONE, ReplyStatus.REPLACED, ReplyStatus.SUPERSEDED)
-)
 
 
 class ThreadedRequestSender:
@@ -70,10 +64,7 @@
         self._start_pool = concurrent.futures.ThreadPoolExecutor(
             start_threads, thread_name_prefix='order'
         )
-        # Stops must not queue behind starts that get no reply.
-        self._stop_pool = concurrent.futures.ThreadPoolExecutor(
-            STOP_THREADS, thread_name_prefix='stop'
-        )
+        self._stop_sender = StopSender(workers, self._report)
         self._pending_starts = _PendingStarts(clock)
         self._first_polls = threading.Semaphore(MAX_CONCURRENT_FIRST_POLLS)
         self._handle_report: RequestHandler = _not_attached
@@ -89,7 +80,7 @@
     def close(self) -> None:
         """Accept no more requests and drop the queued ones."""
         self._start_pool.shutdown(wait=False, cancel_futures=True)
-        self._stop_pool.shutdown(wait=False, cancel_futures=True)
+        self._stop_sender.close()
         self.advisor_queries.close()
 
     # Called by the service.
@@ -111,7 +102,7 @@
     def send_stop(self, request: StopRequest) -> None:
         """Queue a stop and cancel the queued start of the attempt."""
         self._pending_starts.remove(request.attempt)
-        self._stop_pool.submit(self._stop_attempt, request)
+        self._stop_sender.send(request)
 
     def query_advisor(self, query: AdvisorQuery) -> None:
         """Queue a query to the advisor."""
@@ -126,6 +117,8 @@
                 request = self._report(self._poll(request))
         while isinstance(request, PollRequest):
             request = self._report(self._poll(request))
+        # The session has ended: another one sends its own stops.
+        self._stop_sender.withdraw(fence)
 
     def _poll(self, request: PollRequest) -> local.PollDone:
         sent_at = boottime_s()
@@ -155,34 +148,27 @@
         )
 
     def _start_attempt(self, request: StartRequest) -> None:
-        outcome = _call_with_retries(
-            MAX_START_TRIES,
-            lambda: self._workers.start(request, REQUEST_TIMEOUT_S),
-            lambda: self._pending_starts.is_pending(request.attempt),
-        )
+        tries = Tries()
+        while self._should_try(request, tries):
+            tries = try_again(
+                tries, lambda: self._workers.start(request, REQUEST_TIMEOUT_S)
+            )
         self._pending_starts.remove(request.attempt)
         self._report(
             local.StartDone(
                 request.worker.id,
                 request.fence,
                 request.attempt,
-                outcome.reply,
-                outcome.delivery,
+                tries.reply,
+                tries.delivery,
             )
         )
 
-    def _stop_attempt(self, request: StopRequest) -> None:
-        outcome = _call_with_retries(
-            MAX_STOP_TRIES,
-            lambda: self._workers.stop(request, REQUEST_TIMEOUT_S),
-        )
-        self._report(
-            local.StopDone(
-                request.worker.id,
-                request.fence,
-                request.attempt,
-                outcome.reply,
-            )
+    def _should_try(self, request: StartRequest, tries: Tries) -> bool:
+        return (
+            not tries.was_answered
+            and tries.count < MAX_START_TRIES
+            and self._pending_starts.is_pending(request.attempt)
         )
 
     def _report(self, request: typing.Any) -> typing.Any:
@@ -259,61 +245,5 @@
         return self._clock() < added_at + MAX_START_AGE_S
 
 
-class _CallOutcome(msgspec.Struct):
-    reply: WorkerReply | None = None
-    delivery: local.Delivery = local.Delivery.NOT_SENT
-
-
-def _always() -> bool:
-    return True
-
-
-def _call_with_retries(
-    max_tries: int,
-    call: typing.Callable[[], WorkerReply],
-    should_try: typing.Callable[[], bool] = _always,
-) -> _CallOutcome:
-    outcome = _CallOutcome()
-    for _ in range(max_tries):
-        if not should_try():
-            break
-        try:
-            reply = call()
-        except Exception as exc:  # noqa: BLE001
-            # Without a report the attempt would be held.
-            logs.info(
-                'order_unanswered', kind=kind_name(exc), reason=detail_of(exc)
-            )
-            if not _is_unreachable(exc):
-                outcome.delivery = local.Delivery.POSSIBLE
-            elif outcome.delivery is local.Delivery.NOT_SENT:
-                outcome.delivery = local.Delivery.UNREACHABLE
-            continue
-        if _is_conclusive(reply, outcome.delivery):
-            return _CallOutcome(reply, outcome.delivery)
-        logs.info('order_inconclusive', answer=reply.status.value)
-        break
-    return outcome
-
-
-def _is_unreachable(exc: Exception) -> bool:
-    return (
-        isinstance(exc, CassiaholdError) and exc.kind is ErrorKind.UNREACHABLE
-    )
-
-
-def _is_conclusive(
-    reply: WorkerReply, earlier_delivery: local.Delivery
-) -> bool:
-    """Tell whether a reply also holds for the earlier tries of a request.
-
-    After a try that may have arrived, a refusal says nothing about that one:
-    it may have been carried out before or may still be on its way.
-    """
-    if earlier_delivery is not local.Delivery.POSSIBLE:
-        return True
-    return reply.status in CONCLUSIVE_STATUSES
-
-
 def _not_attached(request: typing.Any) -> typing.Any:
     raise CassiaholdError(ErrorKind.NO_QUORUM, 'the replica has not started')
--- a/programs/cell/tests/test_request_sender.py
+++ b/programs/cell/tests/test_request_sender.py
@@ -8,6 +8,7 @@
 import typing
 from unittest import mock
 
+import msgspec
 from leader_fixtures import make_leader, submit
 
 from cassiahold.agreement.replica import LeaseLapsedError, NotLeaderError
@@ -363,6 +364,88 @@
     assert isinstance(report, local.AdvisorQueryDone)
 
 
+class PartlySilentClient:
+    """A client of workers, of which those in ``silent`` never reply."""
+
+    def __init__(self) -> None:
+        self.silent = {WorkerId('silent')}
+        self.stop_tries: queue.SimpleQueue[str] = queue.SimpleQueue()
+
+    def stop(self, request: StopRequest, timeout_s: float) -> WorkerReply:
+        self.stop_tries.put(request.attempt.task.step.job)
+        if request.worker.id in self.silent:
+            time.sleep(timeout_s)
+            raise CassiaholdError(ErrorKind.OUTCOME_UNKNOWN, 'no reply')
+        return WorkerReply(ReplyStatus.DONE)
+
+    def poll(self, request: PollRequest, timeout_s: float) -> PollReply:
+        raise CassiaholdError(ErrorKind.OUTCOME_UNKNOWN, 'no reply')
+
+
+def stop_of(worker: str, job: str, fence: int = 1) -> StopRequest:
+    info = msgspec.structs.replace(WORKER, id=WorkerId(worker))
+    return StopRequest(info, attempt_of(job), fence)
+
+
+def test_stops_to_a_silent_worker_do_not_delay_other_stops() -> None:
+    # Each occupied a thread for 3.2 s; this one was sent after 12.8 s.
+    reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
+    client = PartlySilentClient()
+    with contextlib.ExitStack() as stack:
+        sender = ThreadedRequestSender(client, None, 1)
+        stack.callback(sender.close)
+        sender.attach(reports.put, _UnusedLeaderClient())
+        for number in range(64):
+            sender.send_stop(stop_of('silent', f's{number}'))
+        sender.send_stop(stop_of('sound', 'sound', fence=2))
+        started_at = time.monotonic()
+        while reports.get(timeout=TIMEOUT_S).worker != 'sound':
+            """The stops to the silent worker are given up meanwhile."""
+        assert time.monotonic() - started_at < 2.0, (
+            time.monotonic() - started_at
+        )
+
+
+def test_stop_is_repeated_after_a_lost_reply() -> None:
+    reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
+    client = PartlySilentClient()
+    with contextlib.ExitStack() as stack:
+        sender = ThreadedRequestSender(client, None, 1)
+        stack.callback(sender.close)
+        sender.attach(reports.put, _UnusedLeaderClient())
+        for job in ('first', 'second'):
+            client.silent = {WorkerId('silent')}
+            sender.send_stop(stop_of('silent', job))
+            while client.stop_tries.get(timeout=TIMEOUT_S) != job:
+                """The earlier stop has been tried twice."""
+            client.silent = set()
+            report = reports.get(timeout=TIMEOUT_S)
+            assert report.reply == WorkerReply(ReplyStatus.DONE)
+
+
+def test_stops_are_withdrawn_when_the_session_of_the_worker_ends() -> None:
+    # They were tried eight times each, after the worker was removed, too.
+    reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
+
+    def handle(request: typing.Any) -> local.SessionClosed:
+        reports.put(request)
+        return local.SessionClosed()
+
+    client = PartlySilentClient()
+    with contextlib.ExitStack() as stack:
+        sender = ThreadedRequestSender(client, None, 1)
+        stack.callback(sender.close)
+        sender.attach(handle, _UnusedLeaderClient())
+        sender.send_stop(stop_of('silent', 'first'))
+        assert client.stop_tries.get(timeout=TIMEOUT_S) == 'first'
+        sender.start_polling(WORKER, 1)
+        assert isinstance(reports.get(timeout=TIMEOUT_S), local.GetFirstPoll)
+        report = reports.get(timeout=TIMEOUT_S)
+        assert isinstance(report, local.StopDone)
+        assert report.reply is None
+    assert client.stop_tries.qsize() <= 1
+
+
 def test_polls_end_when_another_replica_leads() -> None:
     reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
 
