Split the dispatcher into slots, targets, queues of teams and dispatcher

Behaviour unchanged. A newcomer met grants, health, fair queueing and requests in one module of 593 lines. Now `slots.py` has the messages, `targets.py` the choice of a target, `team_queues.py` weighted fair queueing; the dispatcher queues, assigns and refuses.

--- a/libs/routing/tests/test_dispatcher.py
+++ b/libs/routing/tests/test_dispatcher.py
@@ -5,13 +5,9 @@
 from cassiahold.core.exceptions import ErrorKind, InvariantError
 from cassiahold.core.ids import ServiceName, TargetId, TeamName
 from cassiahold.core.testing import function_tests
-from cassiahold.routing.dispatcher import (
-    Dispatcher,
-    Endpoint,
-    SlotGrant,
-    SlotRequest,
-)
+from cassiahold.routing.dispatcher import Dispatcher
 from cassiahold.routing.retries import RetryBudget
+from cassiahold.routing.slots import Endpoint, SlotGrant, SlotRequest
 
 PRICES = ServiceName('prices')
 RED, BLUE = TeamName('red'), TeamName('blue')
--- a/programs/gateway/src/cassiahold/gateway/lease_renewal.py
+++ b/programs/gateway/src/cassiahold/gateway/lease_renewal.py
@@ -14,7 +14,7 @@
 from cassiahold.core.ids import GatewayId, TeamName
 from cassiahold.gateway.authorization import Authorizer, LeasedConfiguration
 from cassiahold.gateway.router import RenewGrants, RouterRef
-from cassiahold.routing.dispatcher import SlotGrant
+from cassiahold.routing.slots import SlotGrant
 from cassiahold.wire.group_client import GroupClient
 from cassiahold.wire.messages import (
     ConfigurationLease,
--- a/programs/gateway/src/cassiahold/gateway/proxy.py
+++ b/programs/gateway/src/cassiahold/gateway/proxy.py
@@ -24,8 +24,8 @@
 from cassiahold.gateway.http import HttpResponse
 from cassiahold.gateway.router import RouterRef
 from cassiahold.gateway.upstream import Upstream, send_request
-from cassiahold.routing.dispatcher import Endpoint, SlotRequest
 from cassiahold.routing.retries import RetryBudget, backoff_s
+from cassiahold.routing.slots import Endpoint, SlotRequest
 
 OUTCOME_HEADER: typing.Final = 'Cassiahold-Outcome'
 REQUEST_ID_HEADER: typing.Final = 'Cassiahold-Request-Id'
--- a/programs/gateway/src/cassiahold/gateway/router.py
+++ b/programs/gateway/src/cassiahold/gateway/router.py
@@ -16,12 +16,8 @@
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import ServiceName, TargetId, TeamName
 from cassiahold.core.loops import log_failure
-from cassiahold.routing.dispatcher import (
-    Dispatcher,
-    Endpoint,
-    SlotGrant,
-    SlotRequest,
-)
+from cassiahold.routing.dispatcher import Dispatcher
+from cassiahold.routing.slots import Endpoint, SlotGrant, SlotRequest
 
 _ACTOR_TIMEOUT_S = 5.0
 
--- a/programs/gateway/tests/test_gateway.py
+++ b/programs/gateway/tests/test_gateway.py
@@ -47,8 +47,9 @@
 from cassiahold.gateway.lease_renewal import PeriodicThread
 from cassiahold.gateway.router import start_router
 from cassiahold.gateway.scheduler_groups import SchedulerGroups
-from cassiahold.routing.dispatcher import Dispatcher, SlotRequest
+from cassiahold.routing.dispatcher import Dispatcher
 from cassiahold.routing.retry_after import RefusedCaller
+from cassiahold.routing.slots import SlotRequest
 from cassiahold.wire import messages
 
 RED = TeamName('red')
--- a/programs/gateway/tests/test_proxy.py
+++ b/programs/gateway/tests/test_proxy.py
@@ -10,7 +10,7 @@
 from cassiahold.core.ids import ServiceName, TargetId, TeamName
 from cassiahold.core.testing import expect_error, function_tests
 from cassiahold.gateway.proxy import LiveRequest, Proxy
-from cassiahold.routing.dispatcher import Endpoint, SlotRequest
+from cassiahold.routing.slots import Endpoint, SlotRequest
 
 Respond = typing.Callable[[http.server.BaseHTTPRequestHandler], None]
 
--- a/programs/gateway/tests/test_router.py
+++ b/programs/gateway/tests/test_router.py
@@ -7,7 +7,7 @@
 from cassiahold.core.ids import ServiceName, TargetId, TeamName
 from cassiahold.core.testing import expect_error, function_tests
 from cassiahold.gateway.router import AcquireSlot, ReleaseSlot, RouterRef
-from cassiahold.routing.dispatcher import Endpoint, SlotRequest
+from cassiahold.routing.slots import Endpoint, SlotRequest
 
 PRICES = ServiceName('prices')
 ENDPOINT = Endpoint(TargetId('x'), 1, '127.0.0.1:1', 10)
--- a/tools/bench/src/cassiahold/bench/experiments/live.py
+++ b/tools/bench/src/cassiahold/bench/experiments/live.py
@@ -15,7 +15,8 @@
     percentile,
 )
 from cassiahold.core.ids import ServiceName, TargetId, TeamName
-from cassiahold.routing.dispatcher import Dispatcher, SlotGrant, SlotRequest
+from cassiahold.routing.dispatcher import Dispatcher
+from cassiahold.routing.slots import SlotGrant, SlotRequest
 
 SERVICE: typing.Final = ServiceName('prices')
 TEAM: typing.Final = TeamName('red')
--- a/tools/bench/src/cassiahold/bench/experiments/refused_gateway.py
+++ b/tools/bench/src/cassiahold/bench/experiments/refused_gateway.py
@@ -20,9 +20,10 @@
 from cassiahold.core.ids import ServiceName, TargetId, TeamName
 from cassiahold.core.metrics import NullMetrics
 from cassiahold.gateway.refusals import RefusalPolicy
-from cassiahold.routing.dispatcher import Dispatcher, SlotGrant, SlotRequest
+from cassiahold.routing.dispatcher import Dispatcher
 from cassiahold.routing.refusal_hints import RefusalHints
 from cassiahold.routing.retry_after import RefusedCaller
+from cassiahold.routing.slots import SlotGrant, SlotRequest
 
 SERVICE: typing.Final = ServiceName('prices')
 TICK_S: typing.Final = 0.05
--- a/tools/bench/src/cassiahold/bench/faults/slots.py
+++ b/tools/bench/src/cassiahold/bench/faults/slots.py
@@ -13,12 +13,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from cassiahold.core.ids import GatewayId, ServiceName, TargetId, TeamName
-from cassiahold.routing.dispatcher import (
-    Dispatcher,
-    Endpoint,
-    SlotGrant,
-    SlotRequest,
-)
+from cassiahold.routing.dispatcher import Dispatcher
 from cassiahold.routing.ledger import (
     GatewayGrant,
     LeaseDurations,
@@ -26,6 +21,7 @@
     SlotLedger,
     TargetInfo,
 )
+from cassiahold.routing.slots import Endpoint, SlotGrant, SlotRequest
 
 TICK_S: typing.Final = 0.05
 SLOT_LEASE_S: typing.Final = 1.0
