Move the split of slots over gateways out of the ledger

Behaviour unchanged. The ledger bounds what gateways may be using; how slots are shared is a calculation without state, now in `slot_shares.py`.

--- a/libs/routing/src/cassiahold/routing/ledger.py
+++ b/libs/routing/src/cassiahold/routing/ledger.py
@@ -13,6 +13,7 @@
 
 from cassiahold.core.exceptions import InvariantError
 from cassiahold.core.ids import GatewayId, ServiceName, TargetId
+from cassiahold.routing.slot_shares import fair_share
 
 
 class TargetInfo(msgspec.Struct, frozen=True):
@@ -260,7 +261,9 @@
         )
         held_by_others += target.count_orphaned(now)
         held = target.held_by_gateway.get(gateway_id, 0)
-        wanted_slots = self._fair_share(gateway_id, info, now)
+        wanted_slots = fair_share(
+            info.slots, self._demand_by_gateway(info.service, now), gateway_id
+        )
         if (
             info.is_leaving
             or now >= target.reported_at + self._leases.target_lease_s
@@ -296,51 +299,12 @@
             for gateway in self._gateway_by_id.values()
         )
 
-    def _fair_share(
-        self, gateway_id: GatewayId, info: TargetInfo, now: float
-    ) -> int:
-        # Half of the slots are split evenly, the others by demand.
-        demand_by_gateway = {
-            each_id: gateway.demand_by_service.get(info.service, 0)
-            for each_id, gateway in self._gateway_by_id.items()
+    def _demand_by_gateway(
+        self, service: ServiceName, now: float
+    ) -> dict[GatewayId, int]:
+        """Return the demand of the gateways whose lease has not lapsed."""
+        return {
+            gateway_id: gateway.demand_by_service.get(service, 0)
+            for gateway_id, gateway in self._gateway_by_id.items()
             if now < gateway.synced_at + self._leases.slot_lease_s
         }
-        gateway_count = max(len(demand_by_gateway), 1)
-        even_share = info.slots // (2 * gateway_count)
-        remaining = info.slots - even_share * gateway_count
-        weight_by_gateway = {
-            each_id: 1 + demand for each_id, demand in demand_by_gateway.items()
-        }
-        return even_share + _largest_remainder_share(
-            remaining, weight_by_gateway, gateway_id
-        )
-
-
-def _largest_remainder_share(
-    slots: int, weight_by_gateway: dict[GatewayId, int], gateway_id: GatewayId
-) -> int:
-    """Return a gateway's part of ``slots`` split by weight.
-
-    The split is rounded by the largest remainder method.
-    """
-    total = sum(weight_by_gateway.values())
-    if not total:
-        return slots
-    exact_by_gateway = {
-        each_id: slots * weight / total
-        for each_id, weight in weight_by_gateway.items()
-    }
-    slots_by_gateway = {
-        each_id: int(exact) for each_id, exact in exact_by_gateway.items()
-    }
-    unassigned = slots - sum(slots_by_gateway.values())
-    by_remainder = sorted(
-        exact_by_gateway,
-        key=lambda each_id: (
-            slots_by_gateway[each_id] - exact_by_gateway[each_id],
-            each_id,
-        ),
-    )
-    for each_id in by_remainder[:unassigned]:
-        slots_by_gateway[each_id] += 1
-    return slots_by_gateway.get(gateway_id, 0)
