Test that no team claims or owes slots for the time when it had no requests

Each was checked against a broken queue: without the minimum for teams that return, the first one fails, and without forgetting the times, the second. A third one is new: a team always started at the minimum passed all tests, though one that sends a request at a time then gets more than its weight.

--- a/libs/routing/tests/test_dispatcher.py
+++ b/libs/routing/tests/test_dispatcher.py
@@ -416,4 +416,65 @@
     assert 4 <= served_teams.count(BLUE) <= 6, served_teams
 
 
+def served_teams(
+    driver: DispatcherDriver, running: SlotRequest, count: int
+) -> list[TeamName]:
+    """Return the teams of the next requests that are served, one by one."""
+    teams = []
+    for _ in range(count):
+        driver.complete(running)
+        running = driver.decided[-1]
+        teams.append(running.team)
+    return teams
+
+
+def test_team_that_returns_claims_no_service_for_the_time_it_was_away() -> None:
+    # It was served alone until it had caught up with the other team.
+    driver = DispatcherDriver(grant(slots=1), max_queue_length=99)
+    running = driver.submit(RED, 500.0)
+    for _ in range(40):
+        driver.submit(BLUE, 500.0)
+    driver.submit(RED, 500.0)
+    served_teams(driver, running, 20)
+    for _ in range(20):
+        driver.submit(RED, 500.0)
+    teams = served_teams(driver, driver.decided[-1], 10)
+    assert 4 <= teams.count(BLUE) <= 6, teams
+
+
+def test_team_is_not_charged_for_service_before_all_queues_were_empty() -> None:
+    # A new team was served alone until it had caught up with it.
+    driver = DispatcherDriver(grant(slots=1), max_queue_length=99)
+    running = driver.submit(RED, 500.0)
+    for _ in range(20):
+        driver.submit(RED, 500.0)
+    driver.submit(RED, 1.0)
+    served_teams(driver, running, 19)
+    running = driver.decided[-1]
+    driver.now += 501.0
+    driver.dispatcher.tick(driver.now)
+    for _ in range(20):
+        driver.submit(BLUE, 400.0)
+    for _ in range(20):
+        driver.submit(RED, 400.0)
+    teams = served_teams(driver, running, 10)
+    assert 4 <= teams.count(RED) <= 6, teams
+
+
+def test_team_that_sends_one_request_at_a_time_keeps_to_its_weight() -> None:
+    driver = DispatcherDriver(grant(slots=1), max_queue_length=99)
+    driver.dispatcher.weight_by_team = {RED: 3.0, BLUE: 1.0}
+    running = driver.submit(RED, 500.0)
+    for _ in range(40):
+        driver.submit(RED, 500.0)
+    driver.submit(BLUE, 500.0)
+    teams = []
+    for _ in range(20):
+        teams.extend(served_teams(driver, running, 1))
+        running = driver.decided[-1]
+        if running.team == BLUE:
+            driver.submit(BLUE, 500.0)
+    assert 4 <= teams.count(BLUE) <= 6, teams
+
+
 load_tests = function_tests(globals())
