--- a/programs/cell/src/cassiahold/cell/node.py
+++ b/programs/cell/src/cassiahold/cell/node.py
@@ -87,6 +87,7 @@
         self._refusal_hints = RefusalHints(
             settings.election_s, settings.retry.default_rate_per_s
         )
+        self._contact_failure_kind = ''  # while offers to the leader fail
         self._request_sender: ThreadedRequestSender | None = None
         self.directory = ReplicaDirectory(settings.seeds)
         self.leader_client = LeaderClient(
@@ -362,11 +363,17 @@
             self.leader_client.call_leader(
                 requests.OfferHelp(address), CONTACT_INTERVAL_S
             )
-        except CassiaholdError:
-            # The client logs the failure.
+        except CassiaholdError as exc:
+            self._log_contact(exc.kind.value, exc.detail)
             return False
+        self._log_contact('', '')
         return True
 
+    def _log_contact(self, failure_kind: str, reason: str) -> None:
+        if failure_kind != self._contact_failure_kind:
+            self._contact_failure_kind = failure_kind
+            logs.info('contact_changed', kind=failure_kind, reason=reason)
+
     # Consensus messages.
 
     def _receive(self, envelope: Envelope) -> None:
--- a/programs/cell/tests/test_node_threads.py
+++ b/programs/cell/tests/test_node_threads.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import pathlib
+import queue
 import socket
 import threading
+import time
 import typing
 from unittest import mock
 
@@ -11,6 +13,7 @@
 from cassiahold.cell.node import CellNode
 from cassiahold.cell.settings import CellSettings
 from cassiahold.core.conf.settings import TlsSettings
+from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import DataCentre, HostName
 from cassiahold.core.metrics import NullMetrics
 from cassiahold.core.testing import function_tests
@@ -57,6 +60,25 @@
     assert is_called_again(LeaderClient, 'call_leader')
 
 
+def test_offer_that_the_leader_refuses_is_logged() -> None:
+    # It was repeated without a line in the log.
+    logged: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
+
+    def log(event: str, **fields: typing.Any) -> None:
+        if event == 'contact_changed':
+            logged.put(fields['kind'])
+
+    refusal = CassiaholdError(ErrorKind.OVERLOADED, 'too many calls')
+    with (
+        mock.patch.object(LeaderClient, 'call_leader', side_effect=refusal),
+        mock.patch('cassiahold.core.logs.info', log),
+        running_client(),
+    ):
+        assert logged.get(timeout=TIMEOUT_S) == 'overloaded'
+        time.sleep(0.5)
+    assert logged.empty()
+
+
 def test_search_for_the_leader_goes_on_after_an_unexpected_error() -> None:
     assert is_called_again(LeaderClient, 'locate_leader')
 
