Let the log survive any error of its stream, and name a replica's failure

Operators would see: no line of a process any more after one unexpected error of its output; a replica that stopped with error='worker' and no kind.

Cause: the thread that writes the log survived `OSError` and `ValueError` only; `replica_failed` had the text of the error without its type.

Evidence before the mend: the second line was never written after one `RuntimeError`, and `KeyError: 'kind'` for the event.

Now lines lost to any error are counted in a later one, and the event of the replica, which stops with its process as before, has the kind.

--- a/libs/agreement/src/cassiahold/agreement/replica.py
+++ b/libs/agreement/src/cassiahold/agreement/replica.py
@@ -244,6 +244,7 @@
             'replica_failed',
             group=self._setup.group,
             replica=self._setup.replica,
+            kind=exception_type.__name__ if exception_type else '',
             error=exception_value,
         )
 
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -4,6 +4,7 @@
 import contextlib
 import pathlib
 import tempfile
+import threading
 import typing
 from unittest import mock
 
@@ -105,6 +106,18 @@
         assert ask(replica, 'second') == 'second'
 
 
+def test_replica_that_fails_logs_the_kind_of_its_error() -> None:
+    logged = threading.Event()
+    log = mock.Mock(side_effect=lambda *_, **__: logged.set())
+    with (
+        mock.patch('cassiahold.core.logs.error', log),
+        single_replica() as replica,
+    ):
+        replica.tell('no message')
+        assert logged.wait(5.0)
+    assert log.call_args.kwargs['kind'] == 'TypeError'
+
+
 def test_leader_without_a_lease_is_told_from_a_follower() -> None:
     future: concurrent.futures.Future[typing.Any] = concurrent.futures.Future()
     with single_replica() as replica:
--- a/libs/core/src/cassiahold/core/logs.py
+++ b/libs/core/src/cassiahold/core/logs.py
@@ -92,9 +92,10 @@
             try:
                 self._stream.write('\n'.join(lines) + '\n')
                 self._stream.flush()
-            except (OSError, ValueError):
+            except Exception:  # noqa: BLE001
                 # The stream has no reader.  The lines are lost, but the
-                # metrics still count their events.
+                # metrics still count their events, and a later line tells how
+                # many were lost.
                 self._dropped_lines += len(lines)
 
 
--- a/libs/core/tests/test_logs.py
+++ b/libs/core/tests/test_logs.py
@@ -3,6 +3,8 @@
 import io
 import logging as library_logging
 import time
+import typing
+from unittest import mock
 
 from cassiahold.core.logs import (
     MAX_LINES_PER_S,
@@ -35,6 +37,38 @@
     assert len(stream.getvalue().splitlines()) <= 2 * MAX_LINES_PER_S
 
 
+class _FaultyStream(io.StringIO):
+    """Raises an unexpected error at the first write only."""
+
+    has_failed = False
+
+    def write(self, text: str) -> int:
+        if not self.has_failed:
+            self.has_failed = True
+            raise RuntimeError('unexpected')
+        return super().write(text)
+
+
+def test_log_goes_on_after_an_unexpected_error_of_its_stream() -> None:
+    # All later lines of the process were lost.
+    stream = _FaultyStream()
+    with mock.patch('threading.excepthook'):
+        writer = LogWriter(stream)
+        writer.write('info', 'first', {})
+        _wait_until(lambda: stream.has_failed)
+        writer.write('info', 'second', {})
+        _wait_for_lines(writer, stream, 2)
+    assert 'event=second' in stream.getvalue()
+    assert 'event=lines_dropped count=1' in stream.getvalue()
+
+
+def _wait_until(condition: typing.Callable[[], bool]) -> None:
+    for _ in range(200):
+        if condition():
+            return
+        time.sleep(0.01)
+
+
 def _wait_for_lines(writer: LogWriter, stream: io.StringIO, lines: int) -> None:
     for _ in range(200):
         writer.flush()
