Assign a request at once when no other one waits

A request that found a free slot was queued and taken from the queue again, and since others pass a waiting retry its target was chosen twice.

The virtual times do not change by it: they are forgotten when no request waits.

--- a/libs/routing/src/cassiahold/routing/dispatcher.py
+++ b/libs/routing/src/cassiahold/routing/dispatcher.py
@@ -160,6 +160,8 @@
                 'the lease of this gateway on slots of targets has lapsed',
             )
             return
+        if self._assign_at_once(service, request, now):
+            return
         if self._is_full(service, request.team):
             self._refuse_expired(service, now)
         must_wait = self._must_wait(service, request, now)
@@ -215,6 +217,18 @@
         else:
             self._retired_in_use.pop(key, None)
 
+    def _assign_at_once(
+        self, service: _Service, request: SlotRequest, now: float
+    ) -> bool:
+        """Assign a request to a free slot when no other request waits."""
+        if len(service.queues):
+            return False
+        target = choose_target(service.target_by_id, request, now)
+        if target is None:
+            return False
+        self._assign(target, request)
+        return True
+
     def _must_wait(
         self, service: _Service, request: SlotRequest, now: float
     ) -> bool:
