--- a/libs/policy/src/cassiahold/policy/reservations.py
+++ b/libs/policy/src/cassiahold/policy/reservations.py
@@ -96,20 +96,36 @@
                 worker.reserved_for = ''
                 self._worker_pool.reindex(worker)
 
-    def release_expired(self, waiting_jobs: WaitingJobs, now: float) -> None:
+    def release_obsolete(self, waiting_jobs: WaitingJobs, now: float) -> None:
         """Release reservations that cannot help their job any more.
 
-        They have expired, their job no longer waits, or one of their workers
-        is gone or gets no tasks, so that other workers must be chosen.
+        They have expired, their job no longer waits, one of their workers is
+        gone or gets no tasks, or the workers will not have enough capacity.
+        The job may reserve other workers in the same round.
         """
         for reservation in list(self.reservation_by_job.values()):
+            job = waiting_jobs.job_by_id.get(reservation.job)
             if (
-                now >= reservation.expires_at
-                or reservation.job not in waiting_jobs.job_by_id
+                job is None
+                or now >= reservation.expires_at
                 or not all(map(self._is_usable, reservation.workers))
+                or not self._has_capacity(reservation, job)
             ):
                 self.release(reservation.job)
 
+    def _has_capacity(self, reservation: Reservation, job: WaitingJob) -> bool:
+        """Tell whether the reserved workers will have capacity for a job.
+
+        A gang needs it for all tasks, another job for one.
+        """
+        needed = len(job.pending_indexes) if job.is_gang else 1
+        for worker_id in reservation.workers:
+            worker = self._worker_pool.worker_by_id[worker_id]
+            # A worker that was removed and has returned is not reserved.
+            if worker.reserved_for == job.id:
+                needed -= self._reclaimable_task_count(worker, job.shape)
+        return needed <= 0
+
     def may_backfill(self, job: WaitingJob, now: float) -> bool:
         """Tell whether a job ends before any reservation can be used.
 
@@ -158,15 +174,23 @@
         return chosen if needed <= 0 else []
 
     def _reclaimable_task_count(self, worker: Worker, shape: TaskShape) -> int:
-        """Return how many tasks fit once all but services have ended."""
+        """Return how many tasks fit once all but services have ended.
+
+        An unproven worker takes only a few at a time.
+        """
         allocated_to_services = NO_RESOURCES
+        service_count = 0
         for key in worker.allocation_by_key:
             task = self._task_by_key.get(TaskKey(key))
             if task is not None and task.kind is JobKind.SERVICE:
                 allocated_to_services += task.resources
-        return _fitting_task_count(
+                service_count += 1
+        fitting = _fitting_task_count(
             shape, worker.capacity - allocated_to_services
         )
+        if worker.concurrency_limit is None:
+            return fitting
+        return min(fitting, worker.concurrency_limit - service_count)
 
     def _expected_ready_at(self, reservation: Reservation) -> float:
         # Ready once the last task with a known end has ended.
--- a/programs/cell/src/cassiahold/cell/node.py
+++ b/programs/cell/src/cassiahold/cell/node.py
@@ -8,10 +8,7 @@
 
 import pykka
 
-from cassiahold.agreement.membership_planner import (
-    make_replica_id,
-    replica_address,
-)
+from cassiahold.agreement.membership_planner import make_replica_id
 from cassiahold.agreement.messages import Envelope, Membership
 from cassiahold.agreement.replica import (
     Call,
@@ -29,6 +26,7 @@
 from cassiahold.cell.contacts import CONTACT_INTERVAL_S, ContactSchedule
 from cassiahold.cell.discovery import ReplicaDirectory
 from cassiahold.cell.leader_client import LeaderClient
+from cassiahold.cell.peer_senders import PeerSenders
 from cassiahold.cell.request_sender import ThreadedRequestSender
 from cassiahold.cell.service import CellService
 from cassiahold.cell.settings import (
@@ -42,13 +40,19 @@
 from cassiahold.core import logs
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.conf.settings import check_retry_settings
-from cassiahold.core.exceptions import CassiaholdError, ErrorKind
+from cassiahold.core.exceptions import (
+    CassiaholdError,
+    ErrorKind,
+    detail_of,
+    kind_name,
+)
 from cassiahold.core.ids import GroupName, ReplicaId
+from cassiahold.core.loops import run_step
 from cassiahold.core.metrics import Metrics
 from cassiahold.journal import Journal
 from cassiahold.routing.refusal_hints import RefusalHints
 from cassiahold.wire.security import TransportSecurity
-from cassiahold.wire.transport import Channel, PeerSender, RpcServer
+from cassiahold.wire.transport import RpcServer
 
 REPLY_TIMEOUT_S: typing.Final = 5.0
 TICKS_PER_HEARTBEAT: typing.Final = 5
@@ -74,17 +78,16 @@
     ) -> None:
         check_retry_settings(settings.retry)
         self._settings = settings
-        self._security = security
         self._advisor = advisor
         self._stack = contextlib.ExitStack()
         self._stopped = threading.Event()
-        self._peer_sender_lock = threading.Lock()
-        self._peer_sender_by_address: dict[str, PeerSender] = {}
+        self._peer_senders = PeerSenders(security)
         self._replica: pykka.ActorRef[Replica] | None = None
         self._own_id = ReplicaId('')
         self._refusal_hints = RefusalHints(
             settings.election_s, settings.retry.default_rate_per_s
         )
+        self._contact_failure_kind = ''  # while offers to the leader fail
         self._request_sender: ThreadedRequestSender | None = None
         self.directory = ReplicaDirectory(settings.seeds)
         self.leader_client = LeaderClient(
@@ -164,13 +167,6 @@
                 ErrorKind.NO_QUORUM, 'the replica has stopped'
             )
 
-    def send(self, envelopes: list[Envelope]) -> None:
-        """Pass consensus messages to the senders for their receivers."""
-        for envelope in envelopes:
-            self._peer_sender_to(replica_address(envelope.receiver)).send(
-                envelope
-            )
-
     # Requests.
 
     def _call_leader(
@@ -297,14 +293,14 @@
             ),
             ReplicaStorage(Journal(journal_folder)),
             service,
-            self,
+            self._peer_senders,
         )
         self._stack.callback(_stop_actor, self._replica)
         request_sender.attach(self._call_replica, self.leader_client)
 
     def _start_threads(self) -> None:
         self._stack.callback(self.leader_client.close)
-        self._stack.callback(self._close_peer_senders)
+        self._stack.callback(self._peer_senders.close)
         self.leader_client.start()
         targets = [self._contact_leader_periodically]
         if self._replica is not None:
@@ -317,15 +313,23 @@
     def _tick_periodically(self) -> None:
         pause_s = self._settings.heartbeat_s / TICKS_PER_HEARTBEAT
         while not self._stopped.wait(pause_s):
-            if self._replica is not None and self._replica.is_alive():
-                self._replica.tell(Tick())
+            run_step('tick', self._tick_replica)
+
+    def _tick_replica(self) -> None:
+        if self._replica is not None and self._replica.is_alive():
+            self._replica.tell(Tick())
 
     def _join_periodically(self) -> None:
         while not self._stopped.wait(JOIN_INTERVAL_S):
             try:
                 self._join_if_not_member()
-            except (CassiaholdError, pykka.ActorDeadError) as exc:
-                logs.info('join_failed', replica=self._own_id, reason=exc)
+            except Exception as exc:  # noqa: BLE001
+                logs.info(
+                    'join_failed',
+                    replica=self._own_id,
+                    kind=kind_name(exc),
+                    reason=detail_of(exc),
+                )
 
     def _join_if_not_member(self) -> None:
         view = self._inspect()
@@ -339,7 +343,6 @@
 
     def _contact_leader_periodically(self) -> None:
         address = '' if self._advisor is None else self._settings.address
-        request = requests.OfferHelp(address)
         schedule = ContactSchedule()
         pause_s = CONTACT_INTERVAL_S
         while not self._stopped.wait(pause_s):
@@ -350,15 +353,27 @@
             )
             if pause_s > 0:
                 continue
-            try:
-                self.leader_client.call_leader(request, CONTACT_INTERVAL_S)
-            except CassiaholdError:
-                # The client logs the failure; retry soon.
-                pause_s = CONTACT_RETRY_S
-            else:
+            pause_s = CONTACT_RETRY_S
+            if run_step('contact', lambda: self._offer_help(address)):
                 schedule.record_offer(boottime_s(), self.directory.leader)
                 pause_s = CONTACT_INTERVAL_S
 
+    def _offer_help(self, address: str) -> bool:
+        try:
+            self.leader_client.call_leader(
+                requests.OfferHelp(address), CONTACT_INTERVAL_S
+            )
+        except CassiaholdError as exc:
+            self._log_contact(exc.kind.value, exc.detail)
+            return False
+        self._log_contact('', '')
+        return True
+
+    def _log_contact(self, failure_kind: str, reason: str) -> None:
+        if failure_kind != self._contact_failure_kind:
+            self._contact_failure_kind = failure_kind
+            logs.info('contact_changed', kind=failure_kind, reason=reason)
+
     # Consensus messages.
 
     def _receive(self, envelope: Envelope) -> None:
@@ -369,21 +384,6 @@
         if replica.is_alive():
             replica.tell(envelope)
 
-    def _peer_sender_to(self, address: str) -> PeerSender:
-        with self._peer_sender_lock:
-            peer_sender = self._peer_sender_by_address.get(address)
-            if peer_sender is None:
-                peer_sender = PeerSender(
-                    Channel(address, self._security, requests.CODEC)
-                )
-                self._peer_sender_by_address[address] = peer_sender
-            return peer_sender
-
-    def _close_peer_senders(self) -> None:
-        with self._peer_sender_lock:
-            for peer_sender in self._peer_sender_by_address.values():
-                peer_sender.close()
-
 
 def _new_future() -> concurrent.futures.Future[typing.Any]:
     return concurrent.futures.Future()
--- a/programs/scheduler/tests/test_service.py
+++ b/programs/scheduler/tests/test_service.py
@@ -3,6 +3,7 @@
 from leader_driver import (
     LEASE_BOUND_S,
     RED,
+    LeaderDriver,
     command_kinds,
     ended_attempt,
     running_attempt,
@@ -215,4 +216,56 @@
         )
 
 
+def commands_of_returned_worker(
+    leader: LeaderDriver, incarnation: int
+) -> list[CommandKind]:
+    leader.report(incarnation=incarnation)
+    leader.submit()
+    leader.advance(1.0)
+    return command_kinds(leader.report(incarnation=incarnation))
+
+
+def test_drain_by_an_operator_stays_when_the_worker_returns() -> None:
+    for silence_s in (1.0, 2 * LEASE_BOUND_S):
+        with running_leader(workers=1) as leader:
+            leader.send(messages.Drain(WorkerId('w0'), is_draining=True))
+            leader.report(leaving=True)
+            leader.advance(silence_s)
+            assert not commands_of_returned_worker(leader, incarnation=2)
+            leader.send(messages.Drain(WorkerId('w0'), is_draining=False))
+            leader.advance(1.0)
+            reply = leader.report(incarnation=2)
+            assert command_kinds(reply) == [CommandKind.START]
+
+
+def fail_all_starts(leader: LeaderDriver) -> None:
+    leader.advance(1.0)
+    failed = [
+        ended_attempt(start.attempt, AttemptOutcome.FAILED)
+        for start in leader.report().commands
+    ]
+    assert failed
+    leader.report(ended=failed)
+
+
+def test_sound_unnamed_job_is_retried_soon_after_failures_of_another() -> None:
+    # It waited for 8 s here, for up to 300 s after more failures.
+    with running_leader(workers=1) as leader:
+        bad = leader.submit('bad', tasks=3)
+        fail_all_starts(leader)
+        leader.send(messages.Cancel([bad], RED))
+        leader.submit('sound')
+        fail_all_starts(leader)
+        # The worker is suspended for 5 s.
+        leader.advance(6.5)
+        assert command_kinds(leader.report()) == [CommandKind.START]
+
+
+def test_worker_that_left_is_forgotten_after_its_lease() -> None:
+    with running_leader(workers=1) as leader:
+        leader.report(leaving=True)
+        leader.advance(2 * LEASE_BOUND_S)
+        assert not leader.state.worker_by_id
+
+
 load_tests = function_tests(globals())
