Tell unreliable workers from suspect tasks by name

A reader met is_suspect for workers with failed attempts and for tasks that may crash their workers.

--- a/libs/workflows/src/cassiahold/workflows/available_workers.py
+++ b/libs/workflows/src/cassiahold/workflows/available_workers.py
@@ -43,7 +43,7 @@
     info: WorkerInfo
     free_resources: Resources
     speed: float
-    is_suspect: bool
+    is_unreliable: bool
     has_trial: bool = False
     free_group_places: int = 0
     is_kept: bool = False
@@ -104,7 +104,7 @@
                 worker.info,
                 worker.free_resources,
                 worker.speed_estimate.speed,
-                health.is_suspect(worker.info.id),
+                health.is_unreliable(worker.info.id),
                 has_trial(worker, health, now),
             )
             for worker in workers
@@ -169,7 +169,7 @@
 
 class _PlacementRank(typing.NamedTuple):
     is_other_rack: bool
-    is_suspect: bool
+    is_unreliable: bool
     is_too_slow: bool
     speed_order: float
     # Proven speeds are preferred with little slack, unproven ones otherwise.
@@ -196,7 +196,7 @@
     speed_order = -speed if too_slow or is_tight else speed
     return _PlacementRank(
         is_other_rack,
-        worker.is_suspect,
+        worker.is_unreliable,
         too_slow,
         speed_order,
         worker.record.speed_estimate.is_proven is not is_tight,
@@ -254,7 +254,7 @@
     The worker that probably fits most tasks comes first.
     """
     too_slow = is_too_slow(candidate, worker.speed)
-    return worker.is_suspect, too_slow, -worker.free_resources.cores_m
+    return worker.is_unreliable, too_slow, -worker.free_resources.cores_m
 
 
 def is_too_slow(candidate: Candidate, speed: float) -> bool:
--- a/libs/workflows/src/cassiahold/workflows/crashes.py
+++ b/libs/workflows/src/cassiahold/workflows/crashes.py
@@ -70,8 +70,9 @@
     recent has survived its trial, so the task is no suspect any more.
     """
     task.crash_count += 1
+    # Any of several recent starts may be the cause: that makes each task a
+    # suspect, but brings none nearer to being given up.
     task.crash_score += (
-        # Any of several tasks may be the cause, which makes each a suspect.
         CrashEvidence.PRESENT if evidence is CrashEvidence.RECENT else evidence
     )
     if evidence is CrashEvidence.PRESENT and run_s >= RECENT_START_S:
--- a/libs/workflows/src/cassiahold/workflows/health.py
+++ b/libs/workflows/src/cassiahold/workflows/health.py
@@ -57,7 +57,7 @@
         self._progress_by_attempt: dict[AttemptKey, _Progress] = {}
         self._failed_at_by_placement: dict[_Placement, float] = {}
 
-    def is_suspect(self, worker: WorkerId) -> bool:
+    def is_unreliable(self, worker: WorkerId) -> bool:
         """Tell whether attempts failed or stalled since a success."""
         health = self._health_by_worker.get(worker)
         return health is not None and (
--- a/libs/workflows/tests/test_health.py
+++ b/libs/workflows/tests/test_health.py
@@ -43,11 +43,11 @@
     tracker = HealthTracker()
     record_failed_attempt(tracker, 'a', 1.0)
     record_failed_attempt(tracker, 'b', 1.0)
-    assert tracker.is_suspect(WORKER)
+    assert tracker.is_unreliable(WORKER)
     tracker.record_outcome(
         WORKER, attempt_key('c', 0, 0), AttemptOutcome.DONE, 1.0
     )
-    assert not tracker.is_suspect(WORKER)
+    assert not tracker.is_unreliable(WORKER)
     record_failed_attempt(tracker, 'd', 1.0)
     assert not tracker.is_quarantined(WORKER, 1.1)
 
@@ -96,11 +96,11 @@
     tracker = HealthTracker()
     tracker.quarantine_for_stall(WORKER, 1.0)
     assert not tracker.held_back_workers([worker_info('w')], 1.1)
-    assert tracker.is_suspect(WORKER)
+    assert tracker.is_unreliable(WORKER)
     tracker.record_outcome(
         WORKER, attempt_key('a', 0, 0), AttemptOutcome.DONE, 1.2
     )
-    assert not tracker.is_suspect(WORKER)
+    assert not tracker.is_unreliable(WORKER)
 
 
 load_tests = function_tests(globals())
--- a/programs/cell/src/cassiahold/cell/attempt_ends.py
+++ b/programs/cell/src/cassiahold/cell/attempt_ends.py
@@ -197,7 +197,7 @@
         # The worker may have restarted under an earlier leader.
         return (
             CrashEvidence.PRESENT
-            if self._has_outlived_worker(result)
+            if self._started_on_other_incarnation(result)
             else CrashEvidence.NONE
         )
 
@@ -208,7 +208,9 @@
             return False
         return worker.has_departed(record.incarnation)
 
-    def _has_outlived_worker(self, result: commands.AttemptResult) -> bool:
+    def _started_on_other_incarnation(
+        self, result: commands.AttemptResult
+    ) -> bool:
         worker = self._state.worker_by_id.get(result.worker)
         record = self._state.find_attempt(result.attempt.task)
         if worker is None or record is None:
