Name crashing tasks without the image of guilt

Found on reading the whole change as a newcomer: is_guilty was an image of the writer's own, and core.crashes said that evidence adds up in the crash score, while the workflow state keeps two scores.

--- a/libs/cellstate/src/cassiahold/cellstate/crash_counting.py
+++ b/libs/cellstate/src/cassiahold/cellstate/crash_counting.py
@@ -89,9 +89,9 @@
     """Tell whether a task of an open job has crashed too many workers."""
     if record.is_finished or record.is_stopping:
         return False
-    return any(is_guilty(task.crash_score) for task in record.tasks)
+    return any(reaches_crash_limit(task.crash_score) for task in record.tasks)
 
 
-def is_guilty(crash_score: int) -> bool:
+def reaches_crash_limit(crash_score: int) -> bool:
     """Tell whether a task has crashed too many workers to start again."""
     return crash_score >= MAX_CRASH_SCORE
--- a/libs/cellstate/src/cassiahold/cellstate/task_transitions.py
+++ b/libs/cellstate/src/cassiahold/cellstate/task_transitions.py
@@ -4,7 +4,7 @@
 have run.
 """
 
-from cassiahold.cellstate.crash_counting import is_guilty
+from cassiahold.cellstate.crash_counting import reaches_crash_limit
 from cassiahold.cellstate.jobs import JobRecord, TaskRecord
 from cassiahold.cellstate.scheduler_commands import AttemptResult
 from cassiahold.config.document import PlacementPolicy
@@ -49,7 +49,7 @@
 
 def state_of_abandoned(task: TaskRecord) -> TaskState:
     """Return the final state of an unfinished task of a job given up."""
-    if is_guilty(task.crash_score):
+    if reaches_crash_limit(task.crash_score):
         return TaskState.FAILED
     return TaskState.CANCELLED
 
--- a/libs/core/src/cassiahold/core/crashes.py
+++ b/libs/core/src/cassiahold/core/crashes.py
@@ -24,7 +24,7 @@
 class CrashEvidence(enum.IntEnum):
     """What the crash of a worker tells about one of its attempts.
 
-    The values are added up in the crash score of the task.  ``PRESENT`` means
+    The values are added up in a score of the task.  ``PRESENT`` means
     that the attempt was running or may have been, ``RECENT`` that it may have
     started shortly before the crash, ``ONLY_RECENT`` that moreover no attempt
     of another job on that worker may have.  ``TRIAL`` means that it was the
--- a/programs/scheduler/tests/simulated_worker.py
+++ b/programs/scheduler/tests/simulated_worker.py
@@ -16,14 +16,14 @@
 
 
 class SimulatedWorker:
-    """Runs attempts for a while; a guilty one soon crashes it."""
+    """Runs attempts for a while; a crashing one soon crashes it."""
 
     def __init__(
         self,
         name: str,
         driver: LeaderDriver,
         chance: random.Random,
-        is_guilty: typing.Callable[[AttemptId], bool],
+        crashes_worker: typing.Callable[[AttemptId], bool],
     ) -> None:
         self.name = name
         self.incarnation = 1
@@ -38,7 +38,7 @@
         self.cut_until = 0.0
         self._driver = driver
         self._chance = chance
-        self._is_guilty = is_guilty
+        self._crashes_worker = crashes_worker
         self._known: set[AttemptId] = set()
         self._sequence = 0
         self._term = 0
@@ -56,7 +56,7 @@
         for attempt, ends_at in list(self.ends_at.items()):
             if now < ends_at:
                 continue
-            if self._is_guilty(attempt):
+            if self._crashes_worker(attempt):
                 self.crash()
                 return
             self.ends_at.pop(attempt)
@@ -124,7 +124,7 @@
                 return
             self._known.add(attempt)
             self.executed.append(attempt)
-            run_s = 0.1 if self._is_guilty(attempt) else RUN_S
+            run_s = 0.1 if self._crashes_worker(attempt) else RUN_S
             self.ends_at[attempt] = now + run_s * (0.5 + self._chance.random())
         elif attempt in self.ends_at:
             self.ends_at.pop(attempt)
--- a/programs/scheduler/tests/test_crash_histories.py
+++ b/programs/scheduler/tests/test_crash_histories.py
@@ -32,10 +32,12 @@
         self.initial = driver.service.snapshot()
         self._apply = driver.service.apply
         driver.service.apply = self._record
-        self.guilty: set[JobId] = set()
+        self.crashing: set[JobId] = set()
         self.sound: list[JobId] = []
         self.workers = [
-            SimulatedWorker(f'w{number}', driver, self.chance, self._is_guilty)
+            SimulatedWorker(
+                f'w{number}', driver, self.chance, self._crashes_worker
+            )
             for number in range(4)
         ]
 
@@ -55,8 +57,8 @@
     def _submit(self, number: int) -> None:
         submit = self.driver.submit
         gang = JobKind.GANG
-        self.guilty.add(submit(f'guilty {number}', tasks=2))
-        self.guilty.add(submit(f'guilty gang {number}', tasks=2, kind=gang))
+        self.crashing.add(submit(f'crashing {number}', tasks=2))
+        self.crashing.add(submit(f'crashing gang {number}', tasks=2, kind=gang))
         self.sound.append(submit(f'sound {number}', tasks=4))
         self.sound.append(submit(f'gang {number}', tasks=3, kind=gang))
         self.sound.append(submit(f'once {number}', tasks=2, idempotent=False))
@@ -65,9 +67,9 @@
         self.payloads.append(payload)
         return self._apply(payload)
 
-    def _is_guilty(self, attempt: AttemptId) -> bool:
+    def _crashes_worker(self, attempt: AttemptId) -> bool:
         job, index, _ = attempt.split('/')
-        return job in self.guilty and index == '0'
+        return job in self.crashing and index == '0'
 
     def _step(self, loss_chance: float) -> None:
         self.driver.advance(STEP_S)
@@ -103,12 +105,12 @@
         )
         assert not running or max(running.values()) == 1, running
 
-    def starts_by_guilty_task(self) -> collections.Counter[str]:
+    def starts_by_crashing_task(self) -> collections.Counter[str]:
         return collections.Counter(
             attempt.rpartition('/')[0]
             for worker in self.workers
             for attempt in worker.executed
-            if self._is_guilty(attempt)
+            if self._crashes_worker(attempt)
         )
 
 
@@ -118,9 +120,9 @@
         history.run()
         state = driver.state
         uncounted = sum(worker.uncounted_restarts for worker in history.workers)
-        for task, starts in history.starts_by_guilty_task().items():
+        for task, starts in history.starts_by_crashing_task().items():
             assert starts <= MAX_STARTS + uncounted, (task, starts)
-        for job in history.guilty:
+        for job in history.crashing:
             record = state.job_by_id[job]
             assert record.outcome is JobOutcome.FAILED, record
             assert record.failure_reason is FailureReason.CRASHES
--- a/programs/scheduler/tests/test_crashing_tasks.py
+++ b/programs/scheduler/tests/test_crashing_tasks.py
@@ -138,7 +138,7 @@
         assert 'crash' not in why(driver, job)
 
 
-def test_a_task_that_ran_beside_a_guilty_one_is_done() -> None:
+def test_a_task_that_ran_beside_a_crashing_one_is_done() -> None:
     with running_leader(workers=3) as driver:
         sound = driver.submit('sound', tasks=3)
         driver.advance()
@@ -150,7 +150,7 @@
             driver.report(
                 worker, running=[running_attempt(a, 1) for a in attempts]
             )
-        guilty = driver.submit('guilty')
+        crashing = driver.submit('crashing')
         for _ in range(40):
             driver.advance(0.5)
             for worker, attempts in running.items():
@@ -159,10 +159,10 @@
                 )
                 started = started_attempts(reply)
                 attempts.update(started)
-                if guilty in map(job_of, started):
+                if crashing in map(job_of, started):
                     attempts.clear()
                     driver.crash(worker)
-        assert driver.outcome(guilty) is JobOutcome.FAILED
+        assert driver.outcome(crashing) is JobOutcome.FAILED
         for worker, attempts in running.items():
             driver.report(
                 worker, ended=[ended_attempt(attempt) for attempt in attempts]
@@ -198,21 +198,21 @@
 
 def test_a_suspect_task_starts_apart_from_other_tasks() -> None:
     with running_leader() as driver:
-        guilty = driver.submit('guilty')
+        crashing = driver.submit('crashing')
         driver.advance(0.5)
-        crash_under(driver, guilty, rounds=1)
+        crash_under(driver, crashing, rounds=1)
         driver.submit('others', tasks=7)
         driver.advance(0.5)
         for number in range(2):
             jobs = set(
                 map(job_of, started_attempts(driver.report(f'w{number}')))
             )
-            assert guilty not in jobs or jobs == {guilty}
+            assert crashing not in jobs or jobs == {crashing}
 
 
 def test_a_suspect_task_starts_under_a_stream_of_short_tasks() -> None:
     with running_leader(workers=1) as driver:
-        guilty = driver.submit('guilty')
+        crashing = driver.submit('crashing')
         driver.advance(0.5)
         assert started_attempts(driver.report())
         driver.crash()
@@ -226,20 +226,20 @@
                 ended=[ended_attempt(attempt) for attempt in ended],
             )
             running = [*rest, *started_attempts(reply)]
-            if guilty in map(job_of, running):
+            if crashing in map(job_of, running):
                 break
-        assert guilty in map(job_of, running)
+        assert crashing in map(job_of, running)
 
 
 def test_a_task_charged_late_while_it_waits_starts_apart() -> None:
     with running_leader(workers=1) as driver:
-        guilty = driver.submit('guilty')
+        crashing = driver.submit('crashing')
         driver.advance(0.5)
         assert started_attempts(driver.report())
         driver.advance(LEASE_BOUND_S + 0.5)
-        assert 'may crash their workers' not in why(driver, guilty)
+        assert 'may crash their workers' not in why(driver, crashing)
         driver.crash()
-        assert 'may crash their workers' in why(driver, guilty)
+        assert 'may crash their workers' in why(driver, crashing)
 
 
 def test_a_departure_told_with_a_result_is_no_crash() -> None:
--- a/tools/bench/src/cassiahold/bench/faults/crashing.py
+++ b/tools/bench/src/cassiahold/bench/faults/crashing.py
@@ -13,7 +13,7 @@
 from cassiahold.bench.faults.simulated_worker import SimulatedWorker
 from cassiahold.core.ids import AttemptId
 
-GUILTY_JOB_INTERVAL: typing.Final = 9
+CRASHING_JOB_INTERVAL: typing.Final = 9
 CRASH_DELAY_S: typing.Final = 0.1
 MAX_CRASHES: typing.Final = 5
 SETTLE_CHANCE: typing.Final = 0.1
@@ -79,7 +79,7 @@
     def _crashing_attempt(self, worker: SimulatedWorker) -> AttemptId | None:
         if self.now < worker.paused_until:
             return None
-        for attempt in filter(_is_guilty, worker.running_by_attempt):
+        for attempt in filter(_crashes_worker, worker.running_by_attempt):
             started_at = self._started_at_by_attempt.setdefault(
                 attempt, self.now
             )
@@ -88,7 +88,7 @@
         return None
 
 
-def _is_guilty(attempt: AttemptId) -> bool:
+def _crashes_worker(attempt: AttemptId) -> bool:
     job, index, _ = attempt.split('/')
     job_number = int(job.rpartition('.')[2])
-    return index == '0' and job_number % GUILTY_JOB_INTERVAL == 0
+    return index == '0' and job_number % CRASHING_JOB_INTERVAL == 0
