--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -66,12 +66,14 @@
 
     ``missing_attempts`` got no reply to their start and are not listed by the
     worker: a delayed start request may still start them until a stop is
-    confirmed.
+    confirmed.  ``unmatched_ends`` are newly listed ends of attempts that are
+    not expected.
     """
 
     results: list[AttemptResult] = msgspec.field(default_factory=list)
     unexpected_attempts: list[AttemptKey] = msgspec.field(default_factory=list)
     missing_attempts: list[AttemptKey] = msgspec.field(default_factory=list)
+    unmatched_ends: list[EndedAttempt] = msgspec.field(default_factory=list)
     newest_end_number: int = 0
 
 
@@ -304,6 +306,12 @@
                     attempt, is_first_reply, sent_at, findings
                 )
         findings.unexpected_attempts.extend(running_attempts - expected)
+        findings.unmatched_ends.extend(
+            ended
+            for ended in reply.ended
+            if ended.attempt not in expected
+            and ended.end_number > self.last_stored_end
+        )
         # They fill capacity that is not allocated.
         self._has_unexpected_attempts = bool(findings.unexpected_attempts)
         for result in findings.results:
--- a/programs/cell/src/cassiahold/cell/worker_polls.py
+++ b/programs/cell/src/cassiahold/cell/worker_polls.py
@@ -18,7 +18,7 @@
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.lost_attempts import LostAttempt
 from cassiahold.workflows.model import IncarnationKey
-from cassiahold.workflows.sessions import WorkerSession
+from cassiahold.workflows.sessions import EndedAttempt, WorkerSession
 from cassiahold.workflows.state import WorkflowState
 
 
@@ -138,6 +138,8 @@
                 running=len(reply.running),
                 expected=len(worker.resources_by_attempt),
             )
+        for ended in findings.unmatched_ends:
+            self._log_unmatched_end(session, ended)
         for attempt in findings.unexpected_attempts:
             self._stopper.stop(attempt, session.info.id, 'not_expected')
         for attempt in findings.missing_attempts:
@@ -169,6 +171,22 @@
         session.last_stored_end = newest_end_number
         return self._next_poll(session, boottime_s())
 
+    def _log_unmatched_end(
+        self, session: WorkerSession, ended: EndedAttempt
+    ) -> None:
+        task = ended.attempt.task
+        current = self._state.find_attempt(task)
+        logs.info(
+            'end_unmatched',
+            job=task.step.job,
+            step=task.step.step_index,
+            task=task.task_index,
+            attempt=ended.attempt.attempt_number,
+            worker=session.info.id,
+            how=ended.outcome.value,
+            active=0 if current is None else current.attempt_number,
+        )
+
     def _next_poll(
         self,
         session: WorkerSession,
