Count the end of an attempt that was given up before

Cause: a poll acknowledges ends by number, and the leader took the newest number of a whole reply although the state ignores an end whose attempt is not the active one. The worker then forgot a 'done' or 'failed' that nobody had counted: the task ran again, and more often than its queue allows.

An attempt that is given up as lost is now remembered with its task. When its worker lists its end later, that end is stored before it is acknowledged: it counts once, and what has replaced the attempt is stopped, also by the next leader. The results are a field of their own that earlier versions skip.

--- a/libs/workflows/src/cassiahold/workflows/attempt_results.py
+++ b/libs/workflows/src/cassiahold/workflows/attempt_results.py
@@ -70,6 +70,7 @@
     for task in tasks:
         step.remaining_tasks -= int(not task.is_done)
         task.is_done = True
+        task.done_attempt_number = result.attempt.attempt_number
     return step.remaining_tasks
 
 
--- a/libs/workflows/src/cassiahold/workflows/commands.py
+++ b/libs/workflows/src/cassiahold/workflows/commands.py
@@ -90,8 +90,9 @@
 
     It also explains why incarnations of workers ended: those in ``departed``
     have left, and those in ``replying`` replied to a poll, so that another
-    incarnation of the worker with which attempts were lost has crashed.  Both
-    are part of this command since earlier versions can read it.
+    incarnation of the worker with which attempts were lost has crashed.
+    ``late_results`` are ends of attempts that were given up as lost before.
+    All are part of this command since earlier versions can read it.
     """
 
     results: list[AttemptResult] = msgspec.field(name='ends')
@@ -102,6 +103,9 @@
     replying: tuple[IncarnationKey, ...] = msgspec.field(
         name='alive', default=()
     )
+    late_results: tuple[AttemptResult, ...] = msgspec.field(
+        name='late', default=()
+    )
 
 
 class RegisterWorker(msgspec.Struct, frozen=True, tag='worker'):
--- a/libs/workflows/src/cassiahold/workflows/model.py
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -147,6 +147,9 @@
     the newest one that an attempt left behind.  ``crash_score`` adds up the
     evidence that the task crashes its workers, ``suspect_score`` that since an
     attempt last ran for a while.  ``crash_count`` counts the crashes.
+    ``lost_attempt_numbers`` are attempts that were given up as lost and whose
+    worker may still report an end, ``done_attempt_number`` is the one that
+    ended as done, 0 if unknown.
     """
 
     is_done: bool = False
@@ -157,6 +160,8 @@
     crash_score: int = 0
     suspect_score: int = 0
     crash_count: int = 0
+    lost_attempt_numbers: list[int] = msgspec.field(default_factory=list)
+    done_attempt_number: int = 0
 
 
 class StepRecord(msgspec.Struct, array_like=True):
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -29,6 +29,7 @@
     ConfigurationIndex,
 )
 from cassiahold.workflows.crashes import is_suspect
+from cassiahold.workflows.late_ends import is_uncounted, remember_lost
 from cassiahold.workflows.lost_attempts import LostAttempt
 from cassiahold.workflows.model import (
     AttemptKey,
@@ -51,7 +52,11 @@
 )
 from cassiahold.workflows.start_checks import can_start_group
 from cassiahold.workflows.steps import has_startable_tasks, step_keys
-from cassiahold.workflows.stops import gang_stops, job_stops
+from cassiahold.workflows.stops import (
+    gang_stops,
+    job_stops,
+    replacement_stops,
+)
 
 _ABORTED_STATES: typing.Final = frozenset((JobState.FAILED, JobState.CANCELLED))
 
@@ -171,6 +176,9 @@
         if current is None or current.attempt_number != attempt.attempt_number:
             return False
         step = record.step(key)
+        task = step.tasks[attempt.task.task_index]
+        if task.is_done and task.done_attempt_number:
+            return attempt.attempt_number == task.done_attempt_number
         if (
             not record.spec.steps[key.step_index].is_gang
             or not step.remaining_tasks
@@ -256,6 +264,8 @@
         """
         for result in command.results:
             self._end_attempt(result, command.ended_at)
+        for result in command.late_results:
+            self._count_late_end(result, command.ended_at)
         for key in command.departed:
             self._record_departure(key)
         crashed_attempts: list[LostAttempt] = []
@@ -419,6 +429,8 @@
         self._allocations.release(record.team, result.attempt, attempt.worker)
         update_speed(record, result, self._data.worker_by_id[attempt.worker])
         task.active_attempt = None
+        if result.outcome is AttemptOutcome.LOST:
+            remember_lost(task, result.attempt.attempt_number)
         if result.checkpoint:
             store_checkpoint(record, result)
         if may_have_crashed(record, result):
@@ -434,6 +446,24 @@
         self._apply_result(record, result, ended_at)
         self._update_waiting_step(record, key)
 
+    def _count_late_end(
+        self, result: commands.AttemptResult, ended_at: float
+    ) -> None:
+        key = result.attempt.task.step
+        record = self._data.job_by_id.get(key.job)
+        if record is None or not is_uncounted(
+            record, result.attempt, result.outcome
+        ):
+            return
+        task = record.step(key).tasks[result.attempt.task.task_index]
+        task.lost_attempt_numbers.remove(result.attempt.attempt_number)
+        if result.outcome is AttemptOutcome.DONE:
+            self._effects.extend(replacement_stops(result.attempt, self))
+            self._complete_task(record, result, ended_at)
+        else:
+            self._fail_job_if_hopeless(record, result, ended_at)
+        self._update_waiting_step(record, key)
+
     def _record_departure(self, key: IncarnationKey) -> None:
         self._data.lost_attempts.forget_incarnation(key)
         record = self._data.worker_by_id.get(key.worker)
--- a/libs/workflows/src/cassiahold/workflows/stops.py
+++ b/libs/workflows/src/cassiahold/workflows/stops.py
@@ -3,6 +3,7 @@
 import typing
 
 from cassiahold.workflows.commands import AttemptStopRequired
+from cassiahold.workflows.late_ends import replaced_attempts
 from cassiahold.workflows.model import AttemptKey, JobRecord, TaskKey
 from cassiahold.workflows.steps import step_keys
 
@@ -25,6 +26,18 @@
     ]
 
 
+def replacement_stops(
+    attempt: AttemptKey, state: 'WorkflowState'
+) -> list[AttemptStopRequired]:
+    """Return the stops of what runs in place of an attempt that is done."""
+    job = state.job_by_id[attempt.task.step.job]
+    return [
+        AttemptStopRequired(replacement, record.worker, 'already_done')
+        for replacement in replaced_attempts(job, attempt)
+        if (record := state.find_attempt(replacement.task)) is not None
+    ]
+
+
 def job_stops(record: JobRecord) -> list[AttemptStopRequired]:
     """Return the stops of all attempts of a job that is over."""
     return [
--- a/programs/cell/src/cassiahold/cell/worker_polls.py
+++ b/programs/cell/src/cassiahold/cell/worker_polls.py
@@ -16,9 +16,14 @@
 from cassiahold.core.clock import boottime_s
 from cassiahold.workflows import commands
 from cassiahold.workflows.health import HealthTracker
+from cassiahold.workflows.late_ends import is_uncounted
 from cassiahold.workflows.lost_attempts import LostAttempt
 from cassiahold.workflows.model import IncarnationKey
-from cassiahold.workflows.sessions import EndedAttempt, WorkerSession
+from cassiahold.workflows.sessions import (
+    EndedAttempt,
+    PollFindings,
+    WorkerSession,
+)
 from cassiahold.workflows.state import WorkflowState
 
 
@@ -138,8 +143,7 @@
                 running=len(reply.running),
                 expected=len(worker.resources_by_attempt),
             )
-        for ended in findings.unmatched_ends:
-            self._log_unmatched_end(session, ended)
+        late_results = self._uncounted_results(session, findings)
         for attempt in findings.unexpected_attempts:
             self._stopper.stop(attempt, session.info.id, 'not_expected')
         for attempt in findings.missing_attempts:
@@ -147,14 +151,17 @@
         expected_attempts = list(worker.resources_by_attempt)
         self._stopper.stop_unwanted(session.info.id, expected_attempts)
         self._stopper.stop_stalled(session.info.id, expected_attempts, now)
-        if not findings.results:
+        if not findings.results and not late_results:
             session.last_stored_end = findings.newest_end_number
             return self._next_poll(session, now)
         results = [
             self._attempt_ends.complete(result) for result in findings.results
         ]
+        command = commands.EndAttempts(
+            results, time.time(), late_results=late_results
+        )
         return Proposal(
-            commands.encode_command(self._attempt_ends.end_command(results)),
+            commands.encode_command(command),
             lambda _: self._handle_stored_results(
                 session, results, findings.newest_end_number
             ),
@@ -171,13 +178,35 @@
         session.last_stored_end = newest_end_number
         return self._next_poll(session, boottime_s())
 
-    def _log_unmatched_end(
+    def _uncounted_results(
+        self, session: WorkerSession, findings: PollFindings
+    ) -> tuple[commands.AttemptResult, ...]:
+        """Return the ends of attempts that were given up and still count."""
+        uncounted_ends = [
+            ended
+            for ended in findings.unmatched_ends
+            if is_uncounted(
+                self._state.job_by_id.get(ended.attempt.task.step.job),
+                ended.attempt,
+                ended.outcome,
+            )
+        ]
+        for ended in uncounted_ends:
+            self._log_late_end(session, ended)
+        return tuple(
+            commands.AttemptResult(
+                ended.attempt, session.info.id, ended.outcome, ended.checkpoint
+            )
+            for ended in uncounted_ends
+        )
+
+    def _log_late_end(
         self, session: WorkerSession, ended: EndedAttempt
     ) -> None:
         task = ended.attempt.task
         current = self._state.find_attempt(task)
         logs.info(
-            'end_unmatched',
+            'late_end',
             job=task.step.job,
             step=task.step.step_index,
             task=task.task_index,
--- /dev/null
+++ b/programs/cell/tests/test_late_ends.py
@@ -0,0 +1,112 @@
+"""Tests of ends that workers list after their attempts were given up."""
+
+from leader_fixtures import (
+    LeaderFixture,
+    confirm,
+    make_leader,
+    submit,
+)
+
+from cassiahold.cell import requests
+from cassiahold.cell.clients import StartRequest
+from cassiahold.core.clock import boottime_s
+from cassiahold.core.ids import WorkerId
+from cassiahold.core.testing import function_tests
+from cassiahold.workflows.model import AttemptOutcome, JobState
+from cassiahold.workflows.sessions import (
+    EndedAttempt,
+    RunningAttempt,
+)
+
+W = WorkerId('w')
+
+
+def give_up_first_attempt(leader: LeaderFixture) -> StartRequest:
+    """Start a task on ``w`` and remove the worker, which runs on."""
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    confirm(leader, start)
+    leader.handle(requests.WorkerLeft(W, 1))
+    leader.apply_due_commands(boottime_s() + 0.6)
+    assert W not in leader.service.state.worker_by_id
+    return start
+
+
+def return_with(
+    leader: LeaderFixture, start: StartRequest, outcome: AttemptOutcome
+) -> None:
+    """Let ``w`` return and list the end of an attempt."""
+    leader.send_heartbeat('w', sequence=2)
+    leader.reply_to_poll(
+        'w', ended=(EndedAttempt(1, start.attempt, outcome, ''),)
+    )
+    leader.apply_due_commands(boottime_s() + 1.1)
+
+
+def started_numbers(leader: LeaderFixture) -> list[int]:
+    return [start.attempt.attempt_number for start in leader.sender.starts]
+
+
+def test_task_done_before_its_attempt_was_given_up_does_not_run_again() -> None:
+    leader = make_leader('w')
+    start = give_up_first_attempt(leader)
+    return_with(leader, start, AttemptOutcome.DONE)
+    assert started_numbers(leader) == [1]
+    assert leader.job_state('/q/1') is JobState.COMPLETE
+
+
+def test_failure_told_after_the_attempt_was_given_up_counts() -> None:
+    # Two attempts are allowed.
+    leader = make_leader('w')
+    start = give_up_first_attempt(leader)
+    return_with(leader, start, AttemptOutcome.FAILED)
+    second = leader.sender.starts[-1]
+    leader.reply_to_poll(
+        'w', ended=(EndedAttempt(2, second.attempt, AttemptOutcome.FAILED, ''),)
+    )
+    leader.apply_due_commands(boottime_s() + 1.3)
+    assert started_numbers(leader) == [1, 2]
+    assert leader.job_state('/q/1') is JobState.FAILED
+
+
+def test_late_failure_listed_twice_counts_once() -> None:
+    leader = make_leader('w')
+    start = give_up_first_attempt(leader)
+    return_with(leader, start, AttemptOutcome.FAILED)
+    leader.start_next_term()
+    leader.reply_to_poll(
+        'w', ended=(EndedAttempt(1, start.attempt, AttemptOutcome.FAILED, ''),)
+    )
+    assert leader.job_state('/q/1') is JobState.ACTIVE
+
+
+def test_attempt_that_replaced_one_that_is_done_is_stopped() -> None:
+    leader = make_leader('w')
+    start = give_up_first_attempt(leader)
+    leader.send_heartbeat('v')
+    leader.reply_to_poll('v')
+    leader.apply_due_commands(boottime_s() + 0.9)
+    assert started_numbers(leader) == [1, 2]
+    return_with(leader, start, AttemptOutcome.DONE)
+    assert leader.job_state('/q/1') is JobState.COMPLETE
+    (stop,) = leader.sender.stops
+    assert stop.attempt.attempt_number == 2
+
+
+def test_next_leader_stops_the_attempt_that_replaced_one_that_is_done() -> None:
+    leader = make_leader('w')
+    start = give_up_first_attempt(leader)
+    leader.send_heartbeat('v')
+    leader.reply_to_poll('v')
+    leader.apply_due_commands(boottime_s() + 0.9)
+    return_with(leader, start, AttemptOutcome.DONE)
+    leader.service.restore(leader.service.snapshot())
+    leader.start_next_term()
+    leader.sender.stops.clear()
+    second = leader.sender.starts[-1].attempt
+    leader.reply_to_poll('v', running=(RunningAttempt(second, '', 5),))
+    (stop,) = leader.sender.stops
+    assert stop.attempt == second
+
+
+load_tests = function_tests(globals())
