Acknowledge no end under a session that was closed meanwhile

A poll's results and the removal of its worker can be proposed in one round, and the removal goes first: the results are ignored, and yet the next poll of the closed session acknowledged them, so the worker forgot them and the task ran again. The session's polls now end there; the worker lists the ends again once it is registered, and they are counted then. The test failed before (it got a poll that acknowledged the end).

--- a/programs/cell/src/cassiahold/cell/worker_polls.py
+++ b/programs/cell/src/cassiahold/cell/worker_polls.py
@@ -172,7 +172,10 @@
         session: WorkerSession,
         results: list[commands.AttemptResult],
         newest_end_number: int,
-    ) -> PollRequest:
+    ) -> PollRequest | local.SessionClosed:
+        if self._sessions.get(session.info.id) is not session:
+            # The attempts were given up before their results were stored.
+            return local.SessionClosed()
         for result in results:
             self._attempt_ends.record_stored(result)
         session.last_stored_end = newest_end_number
--- a/programs/cell/tests/test_late_ends.py
+++ b/programs/cell/tests/test_late_ends.py
@@ -1,12 +1,14 @@
 """Tests of ends that workers list after their attempts were given up."""
 
 from leader_fixtures import (
+    LEASE_S,
     LeaderFixture,
     confirm,
     make_leader,
     submit,
 )
 
+from cassiahold.cell import local_requests as local
 from cassiahold.cell import requests
 from cassiahold.cell.clients import StartRequest
 from cassiahold.core.clock import boottime_s
@@ -15,6 +17,7 @@
 from cassiahold.workflows.model import AttemptOutcome, JobState
 from cassiahold.workflows.sessions import (
     EndedAttempt,
+    PollReply,
     RunningAttempt,
 )
 
@@ -109,4 +112,24 @@
     assert stop.attempt == second
 
 
+def test_ends_of_a_worker_removed_meanwhile_are_not_acknowledged() -> None:
+    # Both commands are proposed before one of them is applied.
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    confirm(leader, start)
+    reply = PollReply(
+        1, 1000, (), (EndedAttempt(1, start.attempt, AttemptOutcome.DONE, ''),)
+    )
+    fence = leader.sender.fence_by_worker[W]
+    now = boottime_s()
+    proposal = leader.service.handle_request(
+        local.PollDone(W, fence, reply, now), now
+    )
+    leader.handle(requests.WorkerLeft(W, 1))
+    leader.apply_due_commands(now + LEASE_S)
+    answer = proposal.make_reply(leader.service.apply(proposal.payload))
+    assert isinstance(answer, local.SessionClosed)
+
+
 load_tests = function_tests(globals())
