Give up no attempt whose end may be behind a cut list of ends

Workers list 500 ends at a time. An attempt in neither list counted as lost, although its end could be further behind: the task ran again, and its end was ignored and acknowledged with the next list. A full list now proves nothing about attempts that it lacks.

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -52,13 +52,15 @@
 class PollReply(msgspec.Struct, frozen=True):
     """A worker's reply to a poll: its clock, running and ended attempts.
 
-    ``incarnation`` is 0 when the worker did not report it.
+    ``incarnation`` is 0 when the worker did not report it.  ``has_more_ends``
+    is set when further ends may follow once these are acknowledged.
     """
 
     incarnation: int
     clock_ms: int
     running: tuple[RunningAttempt, ...]
     ended: tuple[EndedAttempt, ...]
+    has_more_ends: bool = False
 
 
 class PollFindings(msgspec.Struct):
@@ -301,7 +303,7 @@
                         attempt, ended_attempt.outcome, ended_attempt.checkpoint
                     )
                 )
-            elif attempt not in running_attempts:
+            elif attempt not in running_attempts and not reply.has_more_ends:
                 self._classify_absent(
                     attempt, is_first_reply, sent_at, findings
                 )
--- a/libs/workflows/tests/test_sessions.py
+++ b/libs/workflows/tests/test_sessions.py
@@ -1,5 +1,6 @@
 """Tests of leases, fences and unconfirmed starts of one worker."""
 
+import msgspec
 from state_fixtures import attempt_key, worker_info
 
 from cassiahold.core.testing import function_tests
@@ -138,6 +139,18 @@
     assert findings.newest_end_number == 3
 
 
+def test_attempt_whose_end_is_behind_a_cut_list_is_not_lost() -> None:
+    session = make_session()
+    attempt = attempt_key('j', 0, 0)
+    other = EndedAttempt(500, attempt_key('k', 0, 0), AttemptOutcome.DONE, '')
+    reply = make_reply(ended=(other,))
+    cut_reply = msgspec.structs.replace(reply, has_more_ends=True)
+    findings = session.reconcile(cut_reply, (attempt,), 0.0, 0.1)
+    assert not findings.results
+    findings = session.reconcile(reply, (attempt,), 0.2, 0.3)
+    assert [end.attempt for end in findings.results] == [attempt]
+
+
 def test_new_leader_waits_for_leases_of_earlier_leaders() -> None:
     session = make_session(now=10.0)
     assert not session.has_expired(10.0 + MAX_LEASE_S)
