Remove a worker that left only once it does not reply any more

A worker whose deregistration is not acknowledged lives on for seconds, and its attempts with it. The leader removed it 0.5 s after the deregistration, polls that it answered meanwhile notwithstanding, and started its tasks elsewhere: two runs at a time, and once its next heartbeat registered it again, the end of the first attempt was acknowledged without being counted.

Each reply to a poll sent after the deregistration now puts the removal off. The worker is removed 0.5 s later if a poll has failed, and after the longest poll otherwise. Both new tests failed before. One test is replaced: it expected a removal by the timer alone, which is the fault; it now expects it within the same second once a poll has failed, and a new one bounds it at 2 s without any outcome of a poll.

--- a/programs/cell/src/cassiahold/cell/worker_ends.py
+++ b/programs/cell/src/cassiahold/cell/worker_ends.py
@@ -8,6 +8,7 @@
 from cassiahold.cell import requests
 from cassiahold.cell.attempt_ends import AttemptEnds
 from cassiahold.cell.session_table import SessionTable
+from cassiahold.cell.settings import POLL_MAX_WAIT_S, POLL_TIMEOUT_SLACK_S
 from cassiahold.core import logs
 from cassiahold.core.ids import WorkerId
 from cassiahold.workflows import commands
@@ -15,8 +16,10 @@
 from cassiahold.workflows.sessions import WorkerSession
 from cassiahold.workflows.state import WorkflowState
 
-# A deregistered worker process has certainly ended after this time.
+# A worker that deregistered has ended if a poll fails after this time.
 DEREGISTRATION_DELAY_S: typing.Final = 0.5
+# It has ended, too, if no poll has been replied to for so long.
+DEPARTURE_TIMEOUT_S: typing.Final = POLL_MAX_WAIT_S + POLL_TIMEOUT_SLACK_S
 
 
 class WorkerEnds:
@@ -110,17 +113,18 @@
         ):
             self._crashed_workers.add(worker)
         self._deregistered_at_by_worker.setdefault(
-            worker, now - DEREGISTRATION_DELAY_S
+            worker, now - DEPARTURE_TIMEOUT_S
         )
 
-    def forget_late_departure(self, request: local.PollDone) -> None:
-        """Forget a departure after which the worker still replies."""
-        left_at = self._unconfirmed_departure_at_by_worker.get(request.worker)
-        if (
-            left_at is not None
-            and request.sent_at >= left_at + DEREGISTRATION_DELAY_S
-        ):
-            self._unconfirmed_departure_at_by_worker.pop(request.worker)
+    def record_reply(self, request: local.PollDone, now: float) -> None:
+        """Record that a worker replied to a poll, also after it left.
+
+        One whose deregistration is not acknowledged may run on for a while.
+        """
+        self._forget_late_departure(request)
+        left_at = self._deregistered_at_by_worker.get(request.worker)
+        if left_at is not None and request.sent_at > left_at:
+            self._deregistered_at_by_worker[request.worker] = now
 
     def record_next_incarnation(self, session: WorkerSession) -> None:
         """Record why the incarnation of a session ended: another follows."""
@@ -146,16 +150,18 @@
         """
         removals: list[commands.Command] = []
         for session in list(self._sessions.session_by_worker.values()):
-            has_left = self._has_left(session.info.id, now)
+            has_left = self._has_left(session, now)
             if has_left or session.has_expired(now):
                 removals.extend(self._remove(session, now, has_left=has_left))
         return removals
 
-    def _has_left(self, worker: WorkerId, now: float) -> bool:
-        deregistered_at = self._deregistered_at_by_worker.get(worker)
-        return (
-            deregistered_at is not None
-            and now >= deregistered_at + DEREGISTRATION_DELAY_S
+    def _has_left(self, session: WorkerSession, now: float) -> bool:
+        deregistered_at = self._deregistered_at_by_worker.get(session.info.id)
+        if deregistered_at is None:
+            return False
+        elapsed_s = now - deregistered_at
+        return elapsed_s >= DEPARTURE_TIMEOUT_S or (
+            session.is_failing and elapsed_s >= DEREGISTRATION_DELAY_S
         )
 
     def _remove(
@@ -193,3 +199,12 @@
         return record is not None and record.has_departed(
             session.info.incarnation
         )
+
+    def _forget_late_departure(self, request: local.PollDone) -> None:
+        """Forget a departure after which the worker still replies."""
+        left_at = self._unconfirmed_departure_at_by_worker.get(request.worker)
+        if (
+            left_at is not None
+            and request.sent_at >= left_at + DEREGISTRATION_DELAY_S
+        ):
+            self._unconfirmed_departure_at_by_worker.pop(request.worker)
--- a/programs/cell/src/cassiahold/cell/worker_polls.py
+++ b/programs/cell/src/cassiahold/cell/worker_polls.py
@@ -74,7 +74,7 @@
             return self._next_poll(session, now, max_wait_s=0.0)
         if request.reply.incarnation not in {0, session.info.incarnation}:
             return self._update_incarnation(session, request.reply.incarnation)
-        self._worker_ends.forget_late_departure(request)
+        self._worker_ends.record_reply(request, now)
         if request.reply.incarnation and self._state.has_lost_attempts(
             request.worker
         ):
--- a/programs/cell/tests/leader_fixtures.py
+++ b/programs/cell/tests/leader_fixtures.py
@@ -113,6 +113,11 @@
         fence = self.sender.fence_by_worker[worker]
         return self.handle(local.PollDone(worker, fence, reply, boottime_s()))
 
+    def fail_poll(self, name: str) -> None:
+        worker = WorkerId(name)
+        fence = self.sender.fence_by_worker[worker]
+        self.handle(local.PollDone(worker, fence, None, boottime_s()))
+
     def reply_to_poll_at(
         self,
         name: str,
--- a/programs/cell/tests/test_departures.py
+++ b/programs/cell/tests/test_departures.py
@@ -16,6 +16,7 @@
 
 from cassiahold.cell import requests
 from cassiahold.cell.clients import StartRequest
+from cassiahold.cell.settings import POLL_MAX_WAIT_S
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.ids import WorkerId
 from cassiahold.core.testing import function_tests
@@ -142,10 +143,38 @@
     leader = make_leader('w')
     leader.send_heartbeat('w', sequence=2, is_draining=True)
     leader.handle(requests.WorkerLeft(W, 0))
+    leader.fail_poll('w')
     leader.apply_due_commands(boottime_s() + 1)
     assert W not in leader.service.state.worker_by_id
 
 
+def test_worker_that_replies_after_it_left_keeps_its_attempts() -> None:
+    # The reply to its deregistration was lost, so it runs on for a while.
+    leader = make_leader('w')
+    start = start_on_worker(leader)
+    leader.handle(requests.WorkerLeft(W, 1))
+    running = RunningAttempt(start.attempt, '', 5)
+    left_at = boottime_s()
+    for elapsed_s in (0.3, 0.6, 0.9):
+        leader.reply_to_poll_at('w', left_at + elapsed_s, 1, (running,))
+        leader.apply_due_commands(left_at + elapsed_s + 0.3)
+    assert W in leader.service.state.worker_by_id
+    leader.fail_poll('w')
+    leader.apply_due_commands(left_at + 1.5)
+    assert W not in leader.service.state.worker_by_id
+
+
+def test_worker_that_left_is_not_removed_while_a_poll_is_open() -> None:
+    leader = make_leader('w')
+    start_on_worker(leader)
+    left_at = boottime_s()
+    leader.handle(requests.WorkerLeft(W, 1))
+    leader.apply_due_commands(left_at + POLL_MAX_WAIT_S)
+    assert W in leader.service.state.worker_by_id
+    leader.apply_due_commands(left_at + 2)
+    assert W not in leader.service.state.worker_by_id
+
+
 def test_departure_without_an_incarnation_is_no_crash() -> None:
     for is_told_late in (False, True):
         leader = make_leader('w')
