--- a/programs/cell/src/cassiahold/cell/clients.py
+++ b/programs/cell/src/cassiahold/cell/clients.py
@@ -100,6 +100,9 @@
         Returns None when another incarnation replied.
         """
 
+    def close_idle(self) -> None:
+        """Close the connections that are not in use, and others after use."""
+
 
 class AdvisorClient(typing.Protocol):
     """Client of the advisor for this host; at most one call at a time."""
--- a/programs/cell/src/cassiahold/cell/request_interface.py
+++ b/programs/cell/src/cassiahold/cell/request_interface.py
@@ -22,5 +22,8 @@
     def send_stop(self, request: StopRequest) -> None:
         """Send a stop with a limited number of tries."""
 
+    def stop_leading(self) -> None:
+        """Close the idle connections to workers: another replica may lead."""
+
     def query_advisor(self, query: AdvisorQuery) -> None:
         """Queue a query to the advisor."""
--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -104,6 +104,10 @@
         self._pending_starts.remove(request.attempt)
         self._stop_sender.send(request)
 
+    def stop_leading(self) -> None:
+        """Close the idle connections to workers: another replica may lead."""
+        self._workers.close_idle()
+
     def query_advisor(self, query: AdvisorQuery) -> None:
         """Queue a query to the advisor."""
         self.advisor_queries.submit(query)
--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -119,6 +119,7 @@
         """Discard the state that only a leader keeps."""
         if self._leader_state is not None:
             self._leader_state.worker_sessions.close()
+            self._request_sender.stop_leading()
         self._leader_state = None
 
     def due_commands(self, now: float) -> list[bytes]:
--- a/programs/cell/tests/leader_fixtures.py
+++ b/programs/cell/tests/leader_fixtures.py
@@ -60,6 +60,7 @@
         self.fence_by_worker: dict[WorkerId, int] = {}
         self.starts: list[StartRequest] = []
         self.stops: list[StopRequest] = []
+        self.stopped_leading_count = 0
 
     def start_polling(self, worker: WorkerInfo, fence: int) -> None:
         self.fence_by_worker[worker.id] = fence
@@ -70,6 +71,9 @@
     def send_stop(self, request: StopRequest) -> None:
         self.stops.append(request)
 
+    def stop_leading(self) -> None:
+        self.stopped_leading_count += 1
+
     def query_advisor(self, query: AdvisorQuery) -> None:
         raise AssertionError('no queue has an advisor')
 
--- a/programs/cell/tests/test_worker_sessions.py
+++ b/programs/cell/tests/test_worker_sessions.py
@@ -84,6 +84,13 @@
     assert len(leader.sender.starts) == 1
 
 
+def test_replica_that_stops_leading_tells_its_sender() -> None:
+    leader = make_leader('w')
+    assert leader.sender.stopped_leading_count == 0
+    leader.service.stop_leading()
+    assert leader.sender.stopped_leading_count == 1
+
+
 def test_new_leader_retries_a_start_that_never_arrived() -> None:
     leader = make_leader('w')
     submit(leader, '/q/1')
