Settle starts without a reply by a higher fence

A worker that answers polls and resets the connections of stops kept an attempt for ever, as its polls renew the lease. After 2 s without a confirmed stop the session goes on under a higher fence; the first reply under it settles all earlier starts.

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -28,6 +28,8 @@
 SILENCE_TIMEOUT_S: typing.Final = 1.5  # no new work without a reply this long
 # Less than a worker takes to restart, run an attempt and list its end.
 ACKNOWLEDGEMENT_WINDOW_S: typing.Final = 0.5
+# Longer than a start is tried and its first stop takes to be confirmed.
+UNSETTLED_START_S: typing.Final = 2.0
 UNHEALTHY_PAUSE_S: typing.Final = 1.0  # after a refusal as unhealthy
 _MS: typing.Final = 1000
 
@@ -76,10 +78,13 @@
 
 
 class _StartState(msgspec.Struct):
+    """What is known of a start; ``is_superseded`` under a higher fence."""
+
     sent_at: float = -math.inf
     confirmed_at: float | None = None
     has_no_reply: bool = False
     is_refused: bool = False
+    is_superseded: bool = False
     stop_confirmed_at: float | None = None
 
 
@@ -137,6 +142,26 @@
             or now >= self.last_reply_at + SILENCE_TIMEOUT_S
         )
 
+    def raise_fence(self, fence: int) -> None:
+        """Go on under a higher fence, after a reply and before the next poll.
+
+        The worker rejects from its next reply on what was sent before, so that
+        reply settles all earlier starts.  No work is sent until then.
+        """
+        self.fence = fence
+        self.last_reply_at = None
+        for start in self._start_by_attempt.values():
+            start.is_superseded = True
+
+    def has_unsettled_start(
+        self, missing_attempts: typing.Iterable[AttemptKey], now: float
+    ) -> bool:
+        """Tell whether stops have failed to settle a missing attempt."""
+        return any(
+            now >= self._start_by_attempt[attempt].sent_at + UNSETTLED_START_S
+            for attempt in missing_attempts
+        )
+
     def has_expired(self, now: float) -> bool:
         """Tell whether every lease that the worker may hold has expired."""
         return now >= self.leases_expire_at
@@ -330,7 +355,7 @@
         self, attempt: AttemptKey, is_first_reply: bool, sent_at: float
     ) -> bool:
         start = self._start_by_attempt.get(attempt)
-        if start is None:
+        if start is None or start.is_superseded:
             # Sent under an earlier fence, which the worker rejects by now.
             return True
         if is_first_reply:
--- a/libs/workflows/tests/test_sessions.py
+++ b/libs/workflows/tests/test_sessions.py
@@ -3,6 +3,7 @@
 from state_fixtures import attempt_key, worker_info
 
 from cassiahold.core.testing import function_tests
+from cassiahold.workflows.crashes import CrashEvidence
 from cassiahold.workflows.model import AttemptOutcome
 from cassiahold.workflows.sessions import (
     EndedAttempt,
@@ -120,6 +121,42 @@
     assert session.reconcile(make_reply(), (attempt,), 10.2, 10.3).results
 
 
+def test_higher_fence_settles_starts_that_got_no_reply() -> None:
+    # The stop of such a start was lost for as long as the worker lived.
+    session = make_session()
+    session.reconcile(make_reply(), (), 0.0, 0.1)
+    lost, running = attempt_key('j', 0, 0), attempt_key('j', 0, 1)
+    for attempt in (lost, running):
+        session.record_start_sent(attempt, 0.2)
+        session.record_start_without_reply(attempt)
+    session.raise_fence(8)
+    # Starts under the new fence must not be taken for earlier ones.
+    assert not session.is_usable(0.3)
+    findings = session.reconcile(make_reply(running), (lost, running), 0.3, 0.4)
+    assert [(end.attempt, end.outcome) for end in findings.results] == [
+        (lost, AttemptOutcome.LOST)
+    ]
+    assert not findings.missing_attempts
+    assert session.is_usable(0.5)
+    later = attempt_key('j', 0, 2)
+    session.record_start_sent(later, 0.5)
+    findings = session.reconcile(
+        make_reply(running), (running, later), 0.45, 0.6
+    )
+    assert not findings.results
+
+
+def test_higher_fence_keeps_the_evidence_of_a_crash() -> None:
+    session = make_session()
+    session.reconcile(make_reply(), (), 0.0, 0.1)
+    attempt = attempt_key('j', 0, 0)
+    session.record_start_sent(attempt, 0.2)
+    session.raise_fence(8)
+    session.reconcile(make_reply(attempt), (attempt,), 0.3, 0.4)
+    evidence = session.weigh_crash((attempt,))
+    assert evidence == {attempt: CrashEvidence.ONLY_RECENT}
+
+
 def test_listed_ends_and_unexpected_attempts_are_found() -> None:
     session = make_session()
     done, unexpected = attempt_key('j', 0, 0), attempt_key('x', 0, 0)
--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -120,6 +120,9 @@
             if isinstance(request, PollRequest):
                 request = self._report(self._poll(request))
         while isinstance(request, PollRequest):
+            if request.fence != fence:
+                self._stop_sender.withdraw(fence)
+                fence = request.fence
             request = self._report(self._poll(request))
         # The session has ended: another one sends its own stops.
         self._stop_sender.withdraw(fence)
--- a/programs/cell/src/cassiahold/cell/session_table.py
+++ b/programs/cell/src/cassiahold/cell/session_table.py
@@ -3,6 +3,7 @@
 import typing
 
 from cassiahold.cell.request_interface import RequestSender
+from cassiahold.core import logs
 from cassiahold.core.ids import WorkerId
 from cassiahold.workflows.model import WorkerInfo
 from cassiahold.workflows.sessions import WorkerSession
@@ -35,9 +36,17 @@
 
     def open(self, info: WorkerInfo, now: float) -> None:
         """Open a session in place of an earlier one and start to poll."""
-        self._fence_count += 1
-        fence = self._term * MAX_FENCES_PER_TERM + self._fence_count
+        fence = self._next_fence()
         self.session_by_worker[info.id] = WorkerSession(
             info, fence, self._max_lease_s, now
         )
         self._request_sender.start_polling(info, fence)
+
+    def raise_fence(self, session: WorkerSession) -> None:
+        """Let a session go on under a higher fence; its polls carry it."""
+        session.raise_fence(self._next_fence())
+        logs.info('fence_raised', worker=session.info.id, fence=session.fence)
+
+    def _next_fence(self) -> int:
+        self._fence_count += 1
+        return self._term * MAX_FENCES_PER_TERM + self._fence_count
--- a/programs/cell/src/cassiahold/cell/worker_polls.py
+++ b/programs/cell/src/cassiahold/cell/worker_polls.py
@@ -17,7 +17,7 @@
 from cassiahold.workflows import commands
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.lost_attempts import LostAttempt
-from cassiahold.workflows.model import IncarnationKey
+from cassiahold.workflows.model import AttemptKey, IncarnationKey
 from cassiahold.workflows.sessions import WorkerSession
 from cassiahold.workflows.state import WorkflowState
 
@@ -140,8 +140,7 @@
             )
         for attempt in findings.unexpected_attempts:
             self._stopper.stop(attempt, session.info.id, 'not_expected')
-        for attempt in findings.missing_attempts:
-            self._stopper.stop(attempt, session.info.id, 'unanswered')
+        self._settle_starts(session, findings.missing_attempts, now)
         expected_attempts = list(worker.resources_by_attempt)
         self._stopper.stop_unwanted(session.info.id, expected_attempts)
         self._stopper.stop_stalled(session.info.id, expected_attempts, now)
@@ -158,6 +157,19 @@
             ),
         )
 
+    def _settle_starts(
+        self,
+        session: WorkerSession,
+        missing_attempts: list[AttemptKey],
+        now: float,
+    ) -> None:
+        """Make sure that starts without a reply are not carried out later."""
+        if session.has_unsettled_start(missing_attempts, now):
+            self._sessions.raise_fence(session)
+            return
+        for attempt in missing_attempts:
+            self._stopper.stop(attempt, session.info.id, 'unanswered')
+
     def _handle_stored_results(
         self,
         session: WorkerSession,
