Hold back a worker that does not answer a start

The planner sent three attempts of one task in a row to a worker that answers polls only. The pause doubles until a start is confirmed, and at most half of a service is held back. Fail before: two tests of test_unanswered_orders and two of test_health.

--- a/libs/workflows/src/cassiahold/workflows/health.py
+++ b/libs/workflows/src/cassiahold/workflows/health.py
@@ -20,6 +20,8 @@
 QUARANTINE_FAILED_JOBS: typing.Final = 3  # distinct jobs that fail in a row
 INITIAL_QUARANTINE_S: typing.Final = 2.0
 MAX_QUARANTINE_S: typing.Final = 16.0
+INITIAL_START_PAUSE_S: typing.Final = 1.0  # after a start without a reply
+MAX_START_PAUSE_S: typing.Final = 8.0
 # Of the workers of a service that could get work otherwise.
 MAX_QUARANTINED_SHARE: typing.Final = 0.5
 STALL_TIMEOUT_S: typing.Final = 2.0  # without progress
@@ -31,6 +33,7 @@
     failed_at: float = -math.inf
     quarantined_until: float = 0.0
     next_quarantine_s: float = INITIAL_QUARANTINE_S
+    next_start_pause_s: float = INITIAL_START_PAUSE_S
 
 
 class _Placement(typing.NamedTuple):
@@ -103,10 +106,27 @@
         self, worker: WorkerId, attempt: AttemptKey, now: float
     ) -> None:
         """Record that a worker confirmed the start of an attempt."""
+        self._health_of(worker).next_start_pause_s = INITIAL_START_PAUSE_S
         self._progress_by_attempt.setdefault(
             attempt, _Progress(worker, now, 0, now)
         )
 
+    def record_unanswered_start(self, worker: WorkerId, now: float) -> float:
+        """Hold back a worker that does not answer a start.
+
+        It may answer polls, whose connection is older.  The pause doubles each
+        time until a start is confirmed.  Returns its length in seconds, 0 if
+        the worker is held back already.
+        """
+        health = self._health_of(worker)
+        if now < health.quarantined_until:
+            return 0.0
+        pause_s = health.next_start_pause_s
+        health.failed_at = now
+        health.quarantined_until = now + pause_s
+        health.next_start_pause_s = min(pause_s * 2, MAX_START_PAUSE_S)
+        return pause_s
+
     def record_progress(
         self, worker: WorkerId, attempt: AttemptKey, percent: int, now: float
     ) -> None:
--- a/libs/workflows/tests/test_health.py
+++ b/libs/workflows/tests/test_health.py
@@ -103,4 +103,27 @@
     assert not tracker.is_unreliable(WORKER)
 
 
+def test_a_confirmed_start_shortens_the_next_pause_of_a_worker() -> None:
+    tracker = HealthTracker()
+    workers = [worker_info('w'), worker_info('x')]
+    attempt = attempt_key('j', 0, 0)
+    tracker.record_unanswered_start(WorkerId('w'), 0.0)
+    assert tracker.held_back_workers(workers, 0.9) == {'w'}
+    tracker.record_unanswered_start(WorkerId('w'), 1.0)
+    assert tracker.held_back_workers(workers, 2.9) == {'w'}
+    assert not tracker.held_back_workers(workers, 3.1)
+    tracker.record_start(WorkerId('w'), attempt, 3.1)
+    tracker.record_unanswered_start(WorkerId('w'), 4.0)
+    assert not tracker.held_back_workers(workers, 5.1)
+
+
+def test_starts_without_reply_never_hold_back_every_worker() -> None:
+    tracker = HealthTracker()
+    workers = [worker_info(name) for name in 'wxyz']
+    for number in range(20):
+        for worker in workers:
+            tracker.record_unanswered_start(worker.id, float(number))
+    assert len(tracker.held_back_workers(workers, 20.0)) == 2
+
+
 load_tests = function_tests(globals())
--- a/programs/cell/src/cassiahold/cell/attempt_starts.py
+++ b/programs/cell/src/cassiahold/cell/attempt_starts.py
@@ -13,6 +13,7 @@
 from cassiahold.cell.session_table import SessionTable
 from cassiahold.cell.worker_ends import WorkerEnds
 from cassiahold.core import logs
+from cassiahold.core.ids import WorkerId
 from cassiahold.core.metrics import Metrics
 from cassiahold.workflows import commands
 from cassiahold.workflows.advisor_replies import AdvisorReplyCache
@@ -121,7 +122,7 @@
             ).expected_s,
         )
         if reply is None:
-            return self._handle_start_without_reply(session, request)
+            return self._handle_start_without_reply(session, request, now)
         self._metrics.incr(f'start.{reply.status.value}')
         session.record_clock(reply.clock_ms, now)
         if reply.status is ReplyStatus.DONE:
@@ -132,9 +133,11 @@
         return self._handle_refused_start(session, request, reply, now)
 
     def _handle_start_without_reply(
-        self, session: WorkerSession, request: local.StartDone
+        self, session: WorkerSession, request: local.StartDone, now: float
     ) -> requests.Acknowledged | Proposal:
         attempt = request.attempt
+        if request.delivery is not local.Delivery.NOT_SENT:
+            self._hold_back(session.info.id, now)
         if request.delivery is local.Delivery.POSSIBLE:
             session.record_start_without_reply(attempt)
             self._stopper.stop(attempt, session.info.id, 'unanswered')
@@ -144,6 +147,11 @@
             session.record_unreachable()
         return self._end_as_lost(session, attempt)
 
+    def _hold_back(self, worker: WorkerId, now: float) -> None:
+        pause_s = self._health.record_unanswered_start(worker, now)
+        if pause_s:
+            logs.info('worker_held_back', worker=worker, pause_s=pause_s)
+
     def stop_done(
         self, request: local.StopDone, now: float
     ) -> requests.Acknowledged:
--- a/programs/cell/tests/test_unanswered_orders.py
+++ b/programs/cell/tests/test_unanswered_orders.py
@@ -19,6 +19,7 @@
 
 POLL_COUNT = 8
 POLL_INTERVAL_S = 1.0
+PASS_INTERVAL_S = 0.2
 
 
 class AnsweredPolls:
@@ -123,4 +124,37 @@
     assert leader.job_state('/q/1') is JobState.COMPLETE
 
 
+def next_started_worker(leader: LeaderFixture, count: int = 1) -> WorkerId:
+    """Submit a job; return where the next tasks start, all on one worker."""
+    start_count = len(leader.sender.starts)
+    submit(leader, '/q/2')
+    leader.apply_due_commands(boottime_s() + PASS_INTERVAL_S)
+    workers = [start.worker.id for start in leader.sender.starts[start_count:]]
+    assert len(workers) == count
+    assert len(set(workers)) == 1
+    return workers[0]
+
+
+def test_worker_that_does_not_answer_a_start_gets_no_work_for_a_while() -> None:
+    # wipe-taken seed 8: three attempts of one task went to the same worker.
+    leader = make_leader('v', 'w')
+    submit(leader, '/q/1')
+    first = lose_start(leader).worker.id
+    assert next_started_worker(leader) != first
+
+
+def test_worker_to_which_no_start_connects_gets_no_work_for_a_while() -> None:
+    leader = make_leader('v', 'w')
+    submit(leader, '/q/1')
+    start = leader.sender.starts[-1]
+    first = start.worker.id
+    unreachable = local.Delivery.UNREACHABLE
+    leader.handle(
+        local.StartDone(first, start.fence, start.attempt, None, unreachable)
+    )
+    # Its polls use an older connection.
+    leader.reply_to_poll(first)
+    assert next_started_worker(leader, 2) != first
+
+
 load_tests = function_tests(globals())
