--- a/programs/cell/src/cassiahold/cell/worker_polls.py
+++ b/programs/cell/src/cassiahold/cell/worker_polls.py
@@ -18,7 +18,7 @@
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.late_ends import is_uncounted
 from cassiahold.workflows.lost_attempts import LostAttempt
-from cassiahold.workflows.model import IncarnationKey
+from cassiahold.workflows.model import AttemptKey, IncarnationKey
 from cassiahold.workflows.sessions import (
     EndedAttempt,
     PollFindings,
@@ -146,8 +146,7 @@
         late_results = self._uncounted_results(session, findings)
         for attempt in findings.unexpected_attempts:
             self._stopper.stop(attempt, session.info.id, 'not_expected')
-        for attempt in findings.missing_attempts:
-            self._stopper.stop(attempt, session.info.id, 'unanswered')
+        self._settle_starts(session, findings.missing_attempts, now)
         expected_attempts = list(worker.resources_by_attempt)
         self._stopper.stop_unwanted(session.info.id, expected_attempts)
         self._stopper.stop_stalled(session.info.id, expected_attempts, now)
@@ -167,6 +166,19 @@
             ),
         )
 
+    def _settle_starts(
+        self,
+        session: WorkerSession,
+        missing_attempts: list[AttemptKey],
+        now: float,
+    ) -> None:
+        """Make sure that starts without a reply are not carried out later."""
+        if session.has_unsettled_start(missing_attempts, now):
+            self._sessions.raise_fence(session)
+            return
+        for attempt in missing_attempts:
+            self._stopper.stop(attempt, session.info.id, 'unanswered')
+
     def _handle_stored_results(
         self,
         session: WorkerSession,
