Repeat no start whose attempt the worker has listed

Cause: a start without a reply is tried again for up to 2 s, whatever is learnt meanwhile. The first try was carried out and only its reply was lost; the attempt ended as done, a poll listed it, the end was stored and acknowledged. Then the worker crashed and was back under its id, with no memory of attempts or fences. The next try, under the fence of the earlier session, started the same attempt there once more.

A start is withdrawn as soon as a poll lists its attempt, and with its session: when the worker is removed or replaced, when its fence is raised and when the replica stops leading. A listed attempt counts as confirmed, so the missing reply does not stop it any more. The tests use a new method of the sender, so they only ran after the change, except that the stop of a listed attempt was seen before.

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -70,13 +70,15 @@
 
     ``missing_attempts`` got no reply to their start and are not listed by the
     worker: a delayed start request may still start them until a stop is
-    confirmed.  ``unmatched_ends`` are newly listed ends of attempts that are
-    not expected.
+    confirmed.  ``listed_attempts`` are those that the worker lists for the
+    first time, as running or ended.  ``unmatched_ends`` are newly listed ends
+    of attempts that are not expected.
     """
 
     results: list[AttemptResult] = msgspec.field(default_factory=list)
     unexpected_attempts: list[AttemptKey] = msgspec.field(default_factory=list)
     missing_attempts: list[AttemptKey] = msgspec.field(default_factory=list)
+    listed_attempts: list[AttemptKey] = msgspec.field(default_factory=list)
     unmatched_ends: list[EndedAttempt] = msgspec.field(default_factory=list)
     newest_end_number: int = 0
 
@@ -89,6 +91,7 @@
     has_no_reply: bool = False
     is_refused: bool = False
     is_superseded: bool = False
+    is_listed: bool = False
     stop_confirmed_at: float | None = None
 
 
@@ -217,6 +220,11 @@
         if start is not None:
             start.has_no_reply = True
 
+    def has_listed(self, attempt: AttemptKey) -> bool:
+        """Tell whether the worker has listed an attempt that was sent."""
+        start = self._start_by_attempt.get(attempt)
+        return start is None or start.is_listed
+
     def record_start_refused(self, attempt: AttemptKey) -> None:
         """Record that a start was certainly not carried out."""
         start = self._start_by_attempt.get(attempt)
@@ -333,6 +341,12 @@
                     attempt, is_first_reply, sent_at, findings
                 )
         findings.unexpected_attempts.extend(running_attempts - expected)
+        listed = running_attempts.union(ended_by_attempt)
+        findings.listed_attempts.extend(
+            attempt
+            for attempt in expected & listed
+            if self._record_listed(attempt, now)
+        )
         findings.unmatched_ends.extend(
             ended
             for ended in reply.ended
@@ -345,6 +359,16 @@
             self._start_by_attempt.pop(result.attempt, None)
         return findings
 
+    def _record_listed(self, attempt: AttemptKey, now: float) -> bool:
+        """Record that an attempt was listed; tell whether that is new."""
+        start = self._start_by_attempt.get(attempt)
+        if start is None or start.is_listed:
+            return False
+        start.is_listed = True
+        if start.confirmed_at is None:
+            start.confirmed_at = now
+        return True
+
     def _classify_absent(
         self,
         attempt: AttemptKey,
--- a/libs/workflows/tests/test_sessions.py
+++ b/libs/workflows/tests/test_sessions.py
@@ -100,6 +100,19 @@
     ).results
 
 
+def test_listed_attempt_ends_although_its_start_got_no_reply() -> None:
+    session = make_session()
+    session.reconcile(make_reply(), (), 0.0, 0.1)
+    attempt = attempt_key('j', 0, 0)
+    session.record_start_sent(attempt, 0.2)
+    findings = session.reconcile(make_reply(attempt), (attempt,), 0.3, 0.4)
+    assert findings.listed_attempts == [attempt]
+    assert session.has_listed(attempt)
+    findings = session.reconcile(make_reply(), (attempt,), 0.5, 0.6)
+    assert not findings.listed_attempts
+    assert [end.outcome for end in findings.results] == [AttemptOutcome.LOST]
+
+
 def test_start_without_reply_is_missing_until_stop_is_confirmed() -> None:
     session = make_session()
     session.reconcile(make_reply(), (), 0.0, 0.1)
--- a/programs/cell/src/cassiahold/cell/attempt_starts.py
+++ b/programs/cell/src/cassiahold/cell/attempt_starts.py
@@ -139,6 +139,8 @@
         if request.delivery is not local.Delivery.NOT_SENT:
             self._hold_back(session.info.id, now)
         if request.delivery is local.Delivery.POSSIBLE:
+            if session.has_listed(attempt):
+                return requests.Acknowledged()
             session.record_start_without_reply(attempt)
             self._stopper.stop(attempt, session.info.id, 'unanswered')
             self._stopper.stop_gang(attempt)
--- a/programs/cell/src/cassiahold/cell/request_interface.py
+++ b/programs/cell/src/cassiahold/cell/request_interface.py
@@ -3,7 +3,7 @@
 import typing
 
 from cassiahold.cell.clients import StartRequest, StopRequest
-from cassiahold.workflows.model import WorkerInfo
+from cassiahold.workflows.model import AttemptKey, WorkerInfo
 from cassiahold.workflows.plans import AdvisorQuery
 
 
@@ -19,6 +19,12 @@
     def send_start(self, request: StartRequest) -> None:
         """Send a start with a limited number of tries."""
 
+    def withdraw_start(self, attempt: AttemptKey) -> None:
+        """Repeat a start no more: the worker has listed its attempt."""
+
+    def withdraw_starts(self, fence: int) -> None:
+        """Send and repeat no start of a session that has ended."""
+
     def send_stop(self, request: StopRequest) -> None:
         """Send a stop with a limited number of tries."""
 
--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -96,9 +96,17 @@
 
     def send_start(self, request: StartRequest) -> None:
         """Queue a start; it is not sent if a stop is queued before."""
-        self._pending_starts.add(request.attempt)
+        self._pending_starts.add(request)
         self._start_pool.submit(self._start_attempt, request)
 
+    def withdraw_start(self, attempt: AttemptKey) -> None:
+        """Repeat a start no more: the worker has listed its attempt."""
+        self._pending_starts.remove(attempt)
+
+    def withdraw_starts(self, fence: int) -> None:
+        """Send and repeat no start of a session that has ended."""
+        self._pending_starts.remove_session(fence)
+
     def send_stop(self, request: StopRequest) -> None:
         """Queue a stop and cancel the queued start of the attempt."""
         self._pending_starts.remove(request.attempt)
@@ -219,6 +227,11 @@
     return msgspec.structs.replace(report, reply=None)
 
 
+class _PendingStart(typing.NamedTuple):
+    fence: int
+    added_at: float
+
+
 class _PendingStarts:
     """Attempts whose start is queued or being sent and still needed.
 
@@ -228,17 +241,28 @@
     def __init__(self, clock: typing.Callable[[], float]) -> None:
         self._clock = clock
         self._lock = threading.Lock()
-        self._added_at_by_attempt: dict[AttemptKey, float] = {}
+        self._start_by_attempt: dict[AttemptKey, _PendingStart] = {}
 
-    def add(self, attempt: AttemptKey) -> None:
+    def add(self, request: StartRequest) -> None:
         """Add an attempt whose start will be sent."""
         with self._lock:
-            self._added_at_by_attempt[attempt] = self._clock()
+            self._start_by_attempt[request.attempt] = _PendingStart(
+                request.fence, self._clock()
+            )
 
     def remove(self, attempt: AttemptKey) -> None:
         """Remove an attempt whose start got a reply or is cancelled."""
         with self._lock:
-            self._added_at_by_attempt.pop(attempt, None)
+            self._start_by_attempt.pop(attempt, None)
+
+    def remove_session(self, fence: int) -> None:
+        """Remove the attempts of a session."""
+        with self._lock:
+            self._start_by_attempt = {
+                attempt: start
+                for attempt, start in self._start_by_attempt.items()
+                if start.fence != fence
+            }
 
     def is_pending(self, attempt: AttemptKey) -> bool:
         """Tell whether the start of an attempt should still be sent.
@@ -246,10 +270,10 @@
         Not after ``MAX_START_AGE_S``: the decision is then too old.
         """
         with self._lock:
-            added_at = self._added_at_by_attempt.get(attempt)
-        if added_at is None:
+            start = self._start_by_attempt.get(attempt)
+        if start is None:
             return False
-        return self._clock() < added_at + MAX_START_AGE_S
+        return self._clock() < start.added_at + MAX_START_AGE_S
 
 
 def _not_attached(request: typing.Any) -> typing.Any:
--- a/programs/cell/src/cassiahold/cell/session_table.py
+++ b/programs/cell/src/cassiahold/cell/session_table.py
@@ -36,14 +36,27 @@
 
     def open(self, info: WorkerInfo, now: float) -> None:
         """Open a session in place of an earlier one and start to poll."""
+        self.close(info.id)
         fence = self._next_fence()
         self.session_by_worker[info.id] = WorkerSession(
             info, fence, self._max_lease_s, now
         )
         self._request_sender.start_polling(info, fence)
 
+    def close(self, worker: WorkerId) -> None:
+        """End the session with a worker, if any; its starts are withdrawn."""
+        session = self.session_by_worker.pop(worker, None)
+        if session is not None:
+            self._request_sender.withdraw_starts(session.fence)
+
+    def close_all(self) -> None:
+        """End every session; polling threads end at their next report."""
+        for worker in list(self.session_by_worker):
+            self.close(worker)
+
     def raise_fence(self, session: WorkerSession) -> None:
         """Let a session go on under a higher fence; its polls carry it."""
+        self._request_sender.withdraw_starts(session.fence)
         session.raise_fence(self._next_fence())
         logs.info('fence_raised', worker=session.info.id, fence=session.fence)
 
--- a/programs/cell/src/cassiahold/cell/worker_ends.py
+++ b/programs/cell/src/cassiahold/cell/worker_ends.py
@@ -168,7 +168,7 @@
         self, session: WorkerSession, now: float, *, has_left: bool
     ) -> list[commands.Command]:
         worker = session.info.id
-        self._sessions.session_by_worker.pop(worker)
+        self._sessions.close(worker)
         logs.info(
             'worker_lost',
             worker=worker,
--- a/programs/cell/src/cassiahold/cell/worker_polls.py
+++ b/programs/cell/src/cassiahold/cell/worker_polls.py
@@ -9,6 +9,7 @@
 from cassiahold.cell.attempt_ends import AttemptEnds
 from cassiahold.cell.attempt_stopper import AttemptStopper
 from cassiahold.cell.clients import PollRequest
+from cassiahold.cell.request_interface import RequestSender
 from cassiahold.cell.session_table import SessionTable
 from cassiahold.cell.settings import POLL_MAX_WAIT_S
 from cassiahold.cell.worker_ends import WorkerEnds
@@ -38,6 +39,7 @@
         self,
         state: WorkflowState,
         sessions: SessionTable,
+        request_sender: RequestSender,
         health: HealthTracker,
         stopper: AttemptStopper,
         attempt_ends: AttemptEnds,
@@ -45,6 +47,7 @@
     ) -> None:
         self._state = state
         self._sessions = sessions
+        self._request_sender = request_sender
         self._health = health
         self._stopper = stopper
         self._attempt_ends = attempt_ends
@@ -144,6 +147,8 @@
                 expected=len(worker.resources_by_attempt),
             )
         late_results = self._uncounted_results(session, findings)
+        for attempt in findings.listed_attempts:
+            self._request_sender.withdraw_start(attempt)
         for attempt in findings.unexpected_attempts:
             self._stopper.stop(attempt, session.info.id, 'not_expected')
         self._settle_starts(session, findings.missing_attempts, now)
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -65,6 +65,7 @@
         self.polls = WorkerPolls(
             state,
             self._sessions,
+            request_sender,
             self.health,
             self._stopper,
             attempt_ends,
@@ -89,7 +90,7 @@
 
     def close(self) -> None:
         """End every session; polling threads end at their next report."""
-        self._sessions.session_by_worker.clear()
+        self._sessions.close_all()
 
     def usable_workers(self, now: float) -> frozenset[WorkerId]:
         """Return the workers that may get new work."""
@@ -218,7 +219,7 @@
     def _refresh_session(self, worker_id: WorkerId, now: float) -> None:
         record = self._state.worker_by_id.get(worker_id)
         if record is None:
-            self._sessions.session_by_worker.pop(worker_id, None)
+            self._sessions.close(worker_id)
             self._heartbeats.record_removed(worker_id)
             return
         session = self._sessions.get(worker_id)
--- a/programs/cell/tests/leader_fixtures.py
+++ b/programs/cell/tests/leader_fixtures.py
@@ -30,7 +30,12 @@
     ServicePolicy,
     TeamPolicy,
 )
-from cassiahold.workflows.model import StepSpec, WorkerInfo, WorkflowSpec
+from cassiahold.workflows.model import (
+    AttemptKey,
+    StepSpec,
+    WorkerInfo,
+    WorkflowSpec,
+)
 from cassiahold.workflows.plans import AdvisorQuery
 from cassiahold.workflows.sessions import (
     EndedAttempt,
@@ -61,6 +66,8 @@
         self.starts: list[StartRequest] = []
         self.stops: list[StopRequest] = []
         self.stopped_leading_count = 0
+        self.withdrawn_attempts: list[AttemptKey] = []
+        self.withdrawn_fences: list[int] = []
 
     def start_polling(self, worker: WorkerInfo, fence: int) -> None:
         self.fence_by_worker[worker.id] = fence
@@ -68,6 +75,12 @@
     def send_start(self, request: StartRequest) -> None:
         self.starts.append(request)
 
+    def withdraw_start(self, attempt: AttemptKey) -> None:
+        self.withdrawn_attempts.append(attempt)
+
+    def withdraw_starts(self, fence: int) -> None:
+        self.withdrawn_fences.append(fence)
+
     def send_stop(self, request: StopRequest) -> None:
         self.stops.append(request)
 
--- a/programs/cell/tests/test_request_sender.py
+++ b/programs/cell/tests/test_request_sender.py
@@ -131,6 +131,49 @@
         return reports.get(timeout=TIMEOUT_S).delivery
 
 
+def test_start_is_not_repeated_once_its_attempt_is_listed() -> None:
+    # The next try could reach the worker after a restart and run a task again
+    # whose end was acknowledged.
+    attempt = attempt_of('first')
+    reports: queue.SimpleQueue[local.StartDone] = queue.SimpleQueue()
+    with contextlib.ExitStack() as stack:
+        client = mock.Mock()
+        sender = ThreadedRequestSender(client, None, start_threads=1)
+        stack.callback(sender.close)
+        sender.attach(reports.put, _UnusedLeaderClient())
+
+        def lose_reply(*_: typing.Any) -> WorkerReply:
+            sender.withdraw_start(attempt)
+            raise CassiaholdError(ErrorKind.OUTCOME_UNKNOWN, 'no reply')
+
+        client.start.side_effect = lose_reply
+        sender.send_start(StartRequest(WORKER, attempt, '', 1, 1))
+        assert reports.get(timeout=TIMEOUT_S).reply is None
+    assert client.start.call_count == 1
+
+
+def test_starts_of_a_session_that_has_ended_are_not_repeated() -> None:
+    reports: queue.SimpleQueue[local.StartDone] = queue.SimpleQueue()
+    with contextlib.ExitStack() as stack:
+        client = mock.Mock()
+        sender = ThreadedRequestSender(client, None, start_threads=1)
+        stack.callback(sender.close)
+        sender.attach(reports.put, _UnusedLeaderClient())
+
+        def lose_reply(*_: typing.Any) -> WorkerReply:
+            sender.withdraw_starts(1)
+            raise CassiaholdError(ErrorKind.OUTCOME_UNKNOWN, 'no reply')
+
+        client.start.side_effect = lose_reply
+        for fence in (1, 2):
+            request = StartRequest(WORKER, attempt_of(f'{fence}'), '', fence, 1)
+            sender.send_start(request)
+            reports.get(timeout=TIMEOUT_S)
+    tried_fences = [call.args[0].fence for call in client.start.mock_calls]
+    assert tried_fences.count(1) == 1
+    assert tried_fences.count(2) > 1
+
+
 def test_start_is_undelivered_only_if_no_try_could_connect() -> None:
     unreachable, unknown = ErrorKind.UNREACHABLE, ErrorKind.OUTCOME_UNKNOWN
     assert deliver_start(unreachable) is local.Delivery.UNREACHABLE
--- a/programs/cell/tests/test_worker_sessions.py
+++ b/programs/cell/tests/test_worker_sessions.py
@@ -71,6 +71,41 @@
     assert poll.last_stored_end == 4
 
 
+def test_start_is_withdrawn_once_its_attempt_is_listed() -> None:
+    for is_running in (True, False):
+        leader = make_leader('w')
+        submit(leader, '/q/1')
+        (start,) = leader.sender.starts
+        running = (RunningAttempt(start.attempt, '', 5),)
+        ended = (EndedAttempt(1, start.attempt, AttemptOutcome.DONE, ''),)
+        if is_running:
+            leader.reply_to_poll('w', running=running)
+        else:
+            leader.reply_to_poll('w', ended=ended)
+        assert leader.sender.withdrawn_attempts == [start.attempt]
+        # Its earlier try had been carried out, so nothing is to be stopped.
+        leader.handle(
+            local.StartDone(
+                WorkerId('w'),
+                start.fence,
+                start.attempt,
+                None,
+                local.Delivery.POSSIBLE,
+            )
+        )
+        assert not leader.sender.stops
+
+
+def test_starts_are_withdrawn_with_their_session() -> None:
+    leader = make_leader('w')
+    fence = leader.sender.fence_by_worker[WorkerId('w')]
+    leader.send_heartbeat('w', incarnation=2)
+    next_fence = leader.sender.fence_by_worker[WorkerId('w')]
+    assert leader.sender.withdrawn_fences == [fence]
+    leader.service.stop_leading()
+    assert leader.sender.withdrawn_fences == [fence, next_fence]
+
+
 def test_new_leader_starts_nothing_before_a_poll_under_its_fence() -> None:
     leader = make_leader('w')
     first_fence = leader.sender.fence_by_worker[WorkerId('w')]
