Derive the timeouts of tries from the workers' reply times

Cause: each try of a start or stop waited 0.4 s and each poll 0.5 s beyond its wait for a reply, although workers reply within milliseconds. Where orders get no reply and are carried out late, tasks and whole workers were held by these waits: 8 to 16 of 24 workers were usable while half of the orders were lost.

The timeout of a try is now the smoothed reply time of its worker and four deviations, 0.1 to 0.4 s, and grows with the tries of a request; a start has eight tries within the same 2 s. Starts and stops are idempotent.

--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -22,7 +22,8 @@
     WorkerClient,
 )
 from cassiahold.cell.leader_client import LeaderClient
-from cassiahold.cell.settings import POLL_TIMEOUT_SLACK_S, REQUEST_TIMEOUT_S
+from cassiahold.cell.reply_times import ReplyTimes
+from cassiahold.cell.settings import POLL_TIMEOUT_SLACK_S
 from cassiahold.cell.stop_sender import StopSender
 from cassiahold.cell.tries import Tries, try_again
 from cassiahold.core import logs
@@ -38,7 +39,7 @@
 
 # A new leader polls every worker, so the number at a time is limited.
 MAX_CONCURRENT_FIRST_POLLS: typing.Final = 8
-MAX_START_TRIES: typing.Final = 4
+MAX_START_TRIES: typing.Final = 8
 # After a longer suspension of this process another one may lead.
 MAX_START_AGE_S: typing.Final = 2.0
 FAILED_POLL_PAUSE_S: typing.Final = 0.1
@@ -64,7 +65,8 @@
         self._start_pool = concurrent.futures.ThreadPoolExecutor(
             start_threads, thread_name_prefix='order'
         )
-        self._stop_sender = StopSender(workers, self._report)
+        self._reply_times = ReplyTimes()
+        self._stop_sender = StopSender(workers, self._reply_times, self._report)
         self._pending_starts = _PendingStarts(clock)
         self._first_polls = threading.Semaphore(MAX_CONCURRENT_FIRST_POLLS)
         self._handle_report: RequestHandler = _not_attached
@@ -127,20 +129,26 @@
             request = self._report(local.GetFirstPoll(worker.id, fence))
             if isinstance(request, PollRequest):
                 request = self._report(self._poll(request))
+        failed_polls = 0
         while isinstance(request, PollRequest):
             if request.fence != fence:
                 self._stop_sender.withdraw(fence)
                 fence = request.fence
-            request = self._report(self._poll(request))
+            outcome = self._poll(request, failed_polls)
+            failed_polls = failed_polls + 1 if outcome.reply is None else 0
+            request = self._report(outcome)
         # The session has ended: another one sends its own stops.
         self._stop_sender.withdraw(fence)
 
-    def _poll(self, request: PollRequest) -> local.PollDone:
+    def _poll(
+        self, request: PollRequest, failed_polls: int = 0
+    ) -> local.PollDone:
         sent_at = boottime_s()
         worker = request.worker.id
+        slack_s = 2 * self._reply_times.timeout_s(worker, failed_polls)
         try:
             reply = self._workers.poll(
-                request, request.max_wait_s + POLL_TIMEOUT_SLACK_S
+                request, request.max_wait_s + min(slack_s, POLL_TIMEOUT_SLACK_S)
             )
         except Exception as exc:  # noqa: BLE001
             # The polls renew the lease of the worker and must not end.
@@ -154,6 +162,8 @@
             )
             threading.Event().wait(FAILED_POLL_PAUSE_S)
             return local.PollDone(worker, request.fence, None, sent_at)
+        if not request.max_wait_s:
+            self._reply_times.record(worker, boottime_s() - sent_at)
         return local.PollDone(
             worker,
             request.fence,
@@ -166,7 +176,13 @@
         tries = Tries()
         while self._should_try(request, tries):
             tries = try_again(
-                tries, lambda: self._workers.start(request, REQUEST_TIMEOUT_S)
+                tries,
+                functools.partial(
+                    self._reply_times.measure,
+                    request.worker.id,
+                    tries.count,
+                    functools.partial(self._workers.start, request),
+                ),
             )
         self._pending_starts.remove(request.attempt)
         self._report(
--- a/programs/cell/src/cassiahold/cell/settings.py
+++ b/programs/cell/src/cassiahold/cell/settings.py
@@ -17,7 +17,7 @@
 SNAPSHOT_BYTES: typing.Final = 16_777_216  # 16 MiB
 CALL_THREADS: typing.Final = 128
 START_THREADS: typing.Final = 32
-REQUEST_TIMEOUT_S: typing.Final = 0.4  # for each try of a start or stop
+REQUEST_TIMEOUT_S: typing.Final = 0.4  # longest, of one try of a start or stop
 POLL_MAX_WAIT_S: typing.Final = 1.0  # how long a worker may delay its reply
 POLL_TIMEOUT_SLACK_S: typing.Final = 0.5  # beyond the wait, until a poll fails
 # One missed contact with the leader: load balancers send callers elsewhere.
--- a/programs/cell/src/cassiahold/cell/stop_sender.py
+++ b/programs/cell/src/cassiahold/cell/stop_sender.py
@@ -8,12 +8,13 @@
 """
 
 import concurrent.futures
+import functools
 import threading
 import typing
 
 from cassiahold.cell import local_requests as local
 from cassiahold.cell.clients import StopRequest, WorkerClient
-from cassiahold.cell.settings import REQUEST_TIMEOUT_S
+from cassiahold.cell.reply_times import ReplyTimes
 from cassiahold.cell.tries import Tries, try_again
 from cassiahold.core import logs
 from cassiahold.workflows.model import AttemptKey
@@ -29,9 +30,11 @@
     def __init__(
         self,
         workers: WorkerClient,
+        reply_times: ReplyTimes,
         report: typing.Callable[[local.StopDone], typing.Any],
     ) -> None:
         self._workers = workers
+        self._reply_times = reply_times
         self._report = report
         # Stops must not queue behind starts that get no reply either.
         self._first_tries = concurrent.futures.ThreadPoolExecutor(
@@ -67,7 +70,13 @@
     def _try_again(self, request: StopRequest, tries: Tries) -> None:
         if self._pending_stops.contains(request):
             tries = try_again(
-                tries, lambda: self._workers.stop(request, REQUEST_TIMEOUT_S)
+                tries,
+                functools.partial(
+                    self._reply_times.measure,
+                    request.worker.id,
+                    tries.count,
+                    functools.partial(self._workers.stop, request),
+                ),
             )
             if not tries.was_answered and tries.count < MAX_STOP_TRIES:
                 self._repeated_stops.add(request)
