Spread the tries of a start or stop over time

A stop to a worker that resets its connections was tried eight times within 50 ms, once a second. Now five tries take 0.75 s. Fail before: the two tests named test_tries_of_a_*_that_is_reset_are_spread_over_time.

--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -157,6 +157,7 @@
     def _start_attempt(self, request: StartRequest) -> None:
         tries = Tries()
         while self._should_try(request, tries):
+            threading.Event().wait(tries.pause_s(boottime_s()))
             tries = try_again(
                 tries, lambda: self._workers.start(request, REQUEST_TIMEOUT_S)
             )
--- a/programs/cell/src/cassiahold/cell/stop_sender.py
+++ b/programs/cell/src/cassiahold/cell/stop_sender.py
@@ -2,9 +2,9 @@
 
 A stop is what frees a task, and one to a silent worker takes its whole timeout
 at each try.  The first try of each stop has threads of its own; after a try
-without a reply the stop is repeated by other threads, one try in turn.  Until
-these are done, further stops of the session are given up at once: the next
-poll to which the worker replies has them sent again.
+without a reply the stop is repeated by other threads, one try in turn and with
+longer pauses.  Until these are done, further stops of the session are given up
+at once: the next poll to which the worker replies has them sent again.
 """
 
 import concurrent.futures
@@ -16,11 +16,12 @@
 from cassiahold.cell.settings import REQUEST_TIMEOUT_S
 from cassiahold.cell.tries import Tries, try_again
 from cassiahold.core import logs
+from cassiahold.core.clock import boottime_s
 from cassiahold.workflows.model import AttemptKey
 
 STOP_THREADS: typing.Final = 16
 STOP_RETRY_THREADS: typing.Final = 16
-MAX_STOP_TRIES: typing.Final = 8
+MAX_STOP_TRIES: typing.Final = 5
 
 
 class StopSender:
@@ -65,6 +66,7 @@
             self._try_again(request, Tries())
 
     def _try_again(self, request: StopRequest, tries: Tries) -> None:
+        threading.Event().wait(tries.pause_s(boottime_s()))
         if self._pending_stops.contains(request):
             tries = try_again(
                 tries, lambda: self._workers.stop(request, REQUEST_TIMEOUT_S)
--- a/programs/cell/src/cassiahold/cell/tries.py
+++ b/programs/cell/src/cassiahold/cell/tries.py
@@ -1,5 +1,6 @@
 """Tries of one request to a worker, and what they say about each other."""
 
+import math
 import typing
 
 import msgspec
@@ -7,6 +8,7 @@
 from cassiahold.cell import local_requests as local
 from cassiahold.cell.clients import ReplyStatus, WorkerReply
 from cassiahold.core import logs
+from cassiahold.core.clock import boottime_s
 from cassiahold.core.exceptions import (
     CassiaholdError,
     ErrorKind,
@@ -19,6 +21,10 @@
     (ReplyStatus.DONE, ReplyStatus.REPLACED, ReplyStatus.SUPERSEDED)
 )
 
+# From the start of one try to that of the next; doubles with each try.
+FIRST_TRY_INTERVAL_S: typing.Final = 0.05
+MAX_TRY_INTERVAL_S: typing.Final = 0.4
+
 
 class Tries(msgspec.Struct, frozen=True):
     """The tries of one request so far.
@@ -31,10 +37,22 @@
     reply: WorkerReply | None = None
     delivery: local.Delivery = local.Delivery.NOT_SENT
     was_answered: bool = False
+    tried_at: float = -math.inf
+
+    def pause_s(self, now: float) -> float:
+        """Return the seconds until the next try; times are boot times."""
+        if not self.count:
+            return 0.0
+        interval_s = min(
+            FIRST_TRY_INTERVAL_S * float(2 ** (self.count - 1)),
+            MAX_TRY_INTERVAL_S,
+        )
+        return max(self.tried_at + interval_s - now, 0.0)
 
 
 def try_again(earlier: Tries, call: typing.Callable[[], WorkerReply]) -> Tries:
     """Send a request once more; ``call`` raises without a reply."""
+    tried_at = boottime_s()
     count = earlier.count + 1
     try:
         reply = call()
@@ -43,7 +61,11 @@
         logs.info(
             'order_unanswered', kind=kind_name(exc), reason=detail_of(exc)
         )
-        return Tries(count, delivery=_delivery_after(exc, earlier.delivery))
+        return Tries(
+            count,
+            delivery=_delivery_after(exc, earlier.delivery),
+            tried_at=tried_at,
+        )
     if _is_conclusive(reply, earlier.delivery):
         return Tries(count, reply, earlier.delivery, was_answered=True)
     logs.info('order_inconclusive', answer=reply.status.value)
--- a/programs/cell/tests/test_request_sender.py
+++ b/programs/cell/tests/test_request_sender.py
@@ -406,6 +406,68 @@
         )
 
 
+class ResettingClient:
+    """A client of workers, of which ``resetting`` resets every connection."""
+
+    def __init__(self) -> None:
+        self.tried_at: list[float] = []
+
+    def start(self, request: StartRequest, timeout_s: float) -> WorkerReply:
+        return self._reply(request.worker.id)
+
+    def stop(self, request: StopRequest, timeout_s: float) -> WorkerReply:
+        return self._reply(request.worker.id)
+
+    def _reply(self, worker: WorkerId) -> WorkerReply:
+        if worker != 'resetting':
+            return WorkerReply(ReplyStatus.DONE)
+        self.tried_at.append(time.monotonic())
+        raise CassiaholdError(ErrorKind.OUTCOME_UNKNOWN, 'reset')
+
+
+def test_tries_of_a_stop_that_is_reset_are_spread_over_time() -> None:
+    # wipe-taken seed 8: eight tries within 50 ms, once a second.
+    reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
+    client = ResettingClient()
+    with contextlib.ExitStack() as stack:
+        sender = ThreadedRequestSender(client, None, 1)
+        stack.callback(sender.close)
+        sender.attach(reports.put, _UnusedLeaderClient())
+        sender.send_stop(stop_of('resetting', 'first'))
+        assert reports.get(timeout=TIMEOUT_S).reply is None
+    assert len(client.tried_at) >= 4
+    assert client.tried_at[-1] - client.tried_at[0] >= 0.7
+
+
+def test_tries_of_a_start_that_is_reset_are_spread_over_time() -> None:
+    reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
+    client = ResettingClient()
+    worker = msgspec.structs.replace(WORKER, id=WorkerId('resetting'))
+    with contextlib.ExitStack() as stack:
+        sender = ThreadedRequestSender(client, None, 1)
+        stack.callback(sender.close)
+        sender.attach(reports.put, _UnusedLeaderClient())
+        sender.send_start(StartRequest(worker, attempt_of('first'), '', 1, 1))
+        assert reports.get(timeout=TIMEOUT_S).reply is None
+    assert len(client.tried_at) >= 3
+    assert client.tried_at[-1] - client.tried_at[0] >= 0.3
+
+
+def test_pauses_between_tries_do_not_delay_the_stops_of_other_workers() -> None:
+    reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
+    with contextlib.ExitStack() as stack:
+        sender = ThreadedRequestSender(ResettingClient(), None, 1)
+        stack.callback(sender.close)
+        sender.attach(reports.put, _UnusedLeaderClient())
+        for number in range(64):
+            sender.send_stop(stop_of('resetting', f's{number}'))
+        sender.send_stop(stop_of('sound', 'sound', fence=2))
+        started_at = time.monotonic()
+        while reports.get(timeout=TIMEOUT_S).worker != 'sound':
+            """The stops to the resetting worker are given up meanwhile."""
+        assert time.monotonic() - started_at < 0.3
+
+
 def test_stop_is_repeated_after_a_lost_reply() -> None:
     reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
     client = PartlySilentClient()
