Send stops that got no reply over the connection of the polls

A worker that resets new connections ran the attempts of cancelled jobs until they ended by themselves.

--- a/programs/cell/src/cassiahold/cell/clients.py
+++ b/programs/cell/src/cassiahold/cell/clients.py
@@ -94,6 +94,14 @@
     def stop(self, request: StopRequest, timeout_s: float) -> WorkerReply:
         """Stop an attempt."""
 
+    def stop_between_polls(
+        self, request: StopRequest, timeout_s: float
+    ) -> WorkerReply:
+        """Stop an attempt over the connection of the worker's polls.
+
+        That connection must not be in use by a poll.
+        """
+
     def poll(self, request: PollRequest, timeout_s: float) -> PollReply | None:
         """Return running and ended attempts.
 
--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -120,13 +120,23 @@
             if isinstance(request, PollRequest):
                 request = self._report(self._poll(request))
         while isinstance(request, PollRequest):
-            if request.fence != fence:
-                self._stop_sender.withdraw(fence)
-                fence = request.fence
-            request = self._report(self._poll(request))
+            fence = request.fence
+            poll_done = self._poll(request)
+            request = self._report(poll_done)
+            if isinstance(request, PollRequest):
+                self._send_stops_between_polls(poll_done, request)
         # The session has ended: another one sends its own stops.
         self._stop_sender.withdraw(fence)
 
+    def _send_stops_between_polls(
+        self, poll_done: local.PollDone, next_poll: PollRequest
+    ) -> None:
+        if poll_done.fence != next_poll.fence:
+            # The worker will reject what was sent under the lower fence.
+            self._stop_sender.withdraw(poll_done.fence)
+        elif poll_done.reply is not None:
+            self._stop_sender.send_failed(poll_done.fence)
+
     def _poll(self, request: PollRequest) -> local.PollDone:
         sent_at = boottime_s()
         worker = request.worker.id
--- a/programs/cell/src/cassiahold/cell/stop_sender.py
+++ b/programs/cell/src/cassiahold/cell/stop_sender.py
@@ -5,9 +5,13 @@
 without a reply the stop is repeated by other threads, one try in turn and with
 longer pauses.  Until these are done, further stops of the session are given up
 at once: the next poll to which the worker replies has them sent again.
+
+A worker may answer polls and no stop, since it resets new connections.  So all
+stops that got no reply are sent over the connection of the polls, too.
 """
 
 import concurrent.futures
+import functools
 import threading
 import typing
 
@@ -43,6 +47,7 @@
         )
         self._pending_stops = _StopsBySession()
         self._repeated_stops = _StopsBySession()
+        self._failed_stops = _StopsBySession()
 
     def close(self) -> None:
         """Accept no more stops and drop the queued ones."""
@@ -56,7 +61,26 @@
 
     def withdraw(self, fence: int) -> None:
         """Send none of the queued stops of a session that has ended."""
-        self._pending_stops.remove_session(fence)
+        self._pending_stops.take_session(fence)
+        self._failed_stops.take_session(fence)
+
+    def send_failed(self, fence: int) -> None:
+        """Send the stops of a session that got no reply, between two polls.
+
+        Ends with the first one that gets no reply again.
+        """
+        for request in self._failed_stops.take_session(fence):
+            tries = try_again(
+                Tries(delivery=local.Delivery.POSSIBLE),
+                functools.partial(
+                    self._workers.stop_between_polls,
+                    request,
+                    REQUEST_TIMEOUT_S,
+                ),
+            )
+            if not tries.was_answered:
+                return
+            self._report_done(request, tries)
 
     def _try_first(self, request: StopRequest) -> None:
         if self._repeated_stops.has_session(request.fence):
@@ -78,8 +102,13 @@
         self._finish(request, tries)
 
     def _finish(self, request: StopRequest, tries: Tries) -> None:
+        if self._pending_stops.contains(request) and not tries.was_answered:
+            self._failed_stops.add(request)
         self._pending_stops.remove(request)
         self._repeated_stops.remove(request)
+        self._report_done(request, tries)
+
+    def _report_done(self, request: StopRequest, tries: Tries) -> None:
         self._report(
             local.StopDone(
                 request.worker.id,
@@ -95,36 +124,35 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._attempts_by_fence: dict[int, set[AttemptKey]] = {}
+        self._stops_by_fence: dict[int, dict[AttemptKey, StopRequest]] = {}
 
     def add(self, request: StopRequest) -> None:
         """Add a stop."""
         with self._lock:
-            self._attempts_by_fence.setdefault(request.fence, set()).add(
-                request.attempt
-            )
+            stops = self._stops_by_fence.setdefault(request.fence, {})
+            stops[request.attempt] = request
 
     def remove(self, request: StopRequest) -> None:
         """Remove a stop; unknown ones are ignored."""
         with self._lock:
-            attempts = self._attempts_by_fence.get(request.fence, set())
-            attempts.discard(request.attempt)
-            if not attempts:
-                self._attempts_by_fence.pop(request.fence, None)
+            stops = self._stops_by_fence.get(request.fence, {})
+            stops.pop(request.attempt, None)
+            if not stops:
+                self._stops_by_fence.pop(request.fence, None)
 
-    def remove_session(self, fence: int) -> None:
-        """Remove all stops of a session."""
+    def take_session(self, fence: int) -> list[StopRequest]:
+        """Remove and return all stops of a session."""
         with self._lock:
-            self._attempts_by_fence.pop(fence, None)
+            return list(self._stops_by_fence.pop(fence, {}).values())
 
     def has_session(self, fence: int) -> bool:
         """Tell whether any stop of a session is in the set."""
         with self._lock:
-            return fence in self._attempts_by_fence
+            return fence in self._stops_by_fence
 
     def contains(self, request: StopRequest) -> bool:
         """Tell whether a stop is in the set."""
         with self._lock:
-            return request.attempt in self._attempts_by_fence.get(
+            return request.attempt in self._stops_by_fence.get(
                 request.fence, ()
             )
--- a/programs/cell/tests/test_request_sender.py
+++ b/programs/cell/tests/test_request_sender.py
@@ -47,6 +47,7 @@
 TIMEOUT_S = 5.0
 # Within the time after which a worker without polls counts as silent.
 REPEATED_REPORT_S = 1.5
+POLL_TIME_S = 0.05
 
 
 def attempt_of(job: str) -> AttemptKey:
@@ -468,6 +469,40 @@
         assert time.monotonic() - started_at < 0.3
 
 
+class PollAnsweringClient(ResettingClient):
+    """A client of workers that answer only on the connections of polls."""
+
+    def poll(self, request: PollRequest, timeout_s: float) -> PollReply:
+        time.sleep(POLL_TIME_S)
+        return PollReply(1, 1000, (), ())
+
+    def stop_between_polls(
+        self, request: StopRequest, timeout_s: float
+    ) -> WorkerReply:
+        return WorkerReply(ReplyStatus.DONE)
+
+
+def test_stops_that_are_reset_go_over_the_connection_of_polls() -> None:
+    # An attempt of a cancelled job would run on until it ends by itself.
+    reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
+
+    def handle(request: typing.Any) -> typing.Any:
+        if isinstance(request, local.StopDone) and request.reply is not None:
+            reports.put(request.attempt)
+        return PollRequest(WORKER, 1, 0, None, 0.0)
+
+    with contextlib.ExitStack() as stack:
+        sender = ThreadedRequestSender(PollAnsweringClient(), None, 1)
+        stack.callback(sender.close)
+        sender.attach(handle, _UnusedLeaderClient())
+        sender.start_polling(WORKER, 1)
+        jobs = {f's{number}' for number in range(8)}
+        for job in jobs:
+            sender.send_stop(stop_of('resetting', job))
+        stopped = {reports.get(timeout=TIMEOUT_S) for _ in jobs}
+    assert stopped == {attempt_of(job) for job in jobs}
+
+
 def test_stop_is_repeated_after_a_lost_reply() -> None:
     reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
     client = PartlySilentClient()
