--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -131,15 +131,24 @@
                 request = self._report(self._poll(request))
         failed_polls = 0
         while isinstance(request, PollRequest):
-            if request.fence != fence:
-                self._stop_sender.withdraw(fence)
-                fence = request.fence
-            outcome = self._poll(request, failed_polls)
-            failed_polls = failed_polls + 1 if outcome.reply is None else 0
-            request = self._report(outcome)
+            fence = request.fence
+            poll_done = self._poll(request, failed_polls)
+            failed_polls = failed_polls + 1 if poll_done.reply is None else 0
+            request = self._report(poll_done)
+            if isinstance(request, PollRequest):
+                self._send_stops_between_polls(poll_done, request)
         # The session has ended: another one sends its own stops.
         self._stop_sender.withdraw(fence)
 
+    def _send_stops_between_polls(
+        self, poll_done: local.PollDone, next_poll: PollRequest
+    ) -> None:
+        if poll_done.fence != next_poll.fence:
+            # The worker will reject what was sent under the lower fence.
+            self._stop_sender.withdraw(poll_done.fence)
+        elif poll_done.reply is not None:
+            self._stop_sender.send_failed(poll_done.fence)
+
     def _poll(
         self, request: PollRequest, failed_polls: int = 0
     ) -> local.PollDone:
@@ -175,6 +184,7 @@
     def _start_attempt(self, request: StartRequest) -> None:
         tries = Tries()
         while self._should_try(request, tries):
+            threading.Event().wait(tries.pause_s(boottime_s()))
             tries = try_again(
                 tries,
                 functools.partial(
