--- a/programs/cell/src/cassiahold/cell/stop_sender.py
+++ b/programs/cell/src/cassiahold/cell/stop_sender.py
@@ -78,6 +78,11 @@
                     REQUEST_TIMEOUT_S,
                 ),
             )
+            logs.info(
+                'stop_sent_between_polls',
+                worker=request.worker.id,
+                is_answered=tries.was_answered,
+            )
             if not tries.was_answered:
                 return
             self._report_done(request, tries)
