Count in the scheduler the ends of attempts that were lost before

Callers of a job could see its task run again although an attempt of it had ended as done, its worker had reported that end, and the reply had confirmed it; a failure reported so did not count towards the limit of attempts.

Cause: a worker whose lease expires while it is cut off keeps the ends of what ended before and reports them once it is back in the same incarnation. The report confirms every end in it, while both ReportProcessor.new_results and SchedulerState.end ignore an end whose attempt is not the current one.

Such an end now counts once: a success for any task that is not done yet, a failure if its attempt is remembered as lost. While another attempt runs in its place, the success is kept with the task, that attempt is stopped, and its end, whatever it is, leaves the task done; its allocation is held until then.

--- a/libs/cellstate/src/cassiahold/cellstate/jobs.py
+++ b/libs/cellstate/src/cassiahold/cellstate/jobs.py
@@ -75,6 +75,9 @@
     """The state of one task and its current or last attempt.
 
     ``crash_score`` adds up the evidence that the task crashes its workers.
+    ``lost_attempts`` were lost with their workers, which may still report
+    their ends.  ``is_done_late`` is set once one of them has turned out to be
+    done, so that the current attempt is not needed any more.
     """
 
     state: TaskState = TaskState.WAITING
@@ -85,6 +88,8 @@
     may_have_run: bool = False
     note: str = ''
     crash_score: int = 0
+    lost_attempts: tuple[int, ...] = ()
+    is_done_late: bool = False
 
 
 class JobRecord(msgspec.Struct, array_like=True):
@@ -135,6 +140,10 @@
         """Tell whether the running attempts must stop, for now or for good."""
         return self.is_stopping or self.is_restarting
 
+    def must_stop_attempt(self, index: int) -> bool:
+        """Tell whether the running attempt of a task must stop."""
+        return self.must_stop_attempts or self.tasks[index].is_done_late
+
     @property
     def may_rerun(self) -> bool:
         """Tell whether a task may be placed again after it ran."""
--- a/libs/cellstate/src/cassiahold/cellstate/scheduler_state.py
+++ b/libs/cellstate/src/cassiahold/cellstate/scheduler_state.py
@@ -18,6 +18,10 @@
     WorkerRecord,
     attempt_id,
 )
+from cassiahold.cellstate.late_results import (
+    count_late_result,
+    is_uncounted,
+)
 from cassiahold.cellstate.outcomes import CancelOutcome, SubmitOutcome
 from cassiahold.cellstate.quotas import QuotaOffer, ResourceTotals
 from cassiahold.cellstate.scheduler_dispatch import apply_command
@@ -190,23 +194,21 @@
         return started_count
 
     def end(self, command: commands.EndTasks) -> None:
-        """Record the ends of current attempts; others are ignored."""
+        """Record the ends of attempts.
+
+        Those of attempts that were lost before count as far as they still
+        matter; others are ignored.
+        """
         for result in command.results:
             record = self._stored.job_by_id.get(result.job)
-            if record is None or not _is_current_attempt(record, result):
+            if record is None:
                 continue
-            task = record.tasks[result.index]
-            self._tasks.release_allocation(record, result.index)
-            next_state = state_after_end(
-                record, task, result, self._stored.configuration.placement
-            )
-            self._tasks.set_task_state(
-                record,
-                result.index,
-                next_state,
-                result.note,
-                command.ended_at,
-            )
+            if _is_current_attempt(record, result):
+                self._end_current_attempt(record, result, command.ended_at)
+            elif is_uncounted(
+                record, result.index, result.attempt, result.outcome
+            ):
+                self._end_lost_attempt(record, result, command.ended_at)
 
         if command.leaving_worker is not None:
             self.drain_worker(
@@ -341,6 +343,37 @@
             stored, self._tasks, self._effects
         )
 
+    def _end_current_attempt(
+        self,
+        record: JobRecord,
+        result: commands.AttemptResult,
+        ended_at: float,
+    ) -> None:
+        self._tasks.release_allocation(record, result.index)
+        next_state = state_after_end(
+            record,
+            record.tasks[result.index],
+            result,
+            self._stored.configuration.placement,
+        )
+        self._tasks.set_task_state(
+            record, result.index, next_state, result.note, ended_at
+        )
+
+    def _end_lost_attempt(
+        self,
+        record: JobRecord,
+        result: commands.AttemptResult,
+        ended_at: float,
+    ) -> None:
+        next_state = count_late_result(
+            record, result, self._stored.configuration.placement.max_attempts
+        )
+        if next_state is not None:
+            self._tasks.set_task_state(
+                record, result.index, next_state, result.note, ended_at
+            )
+
     def _cancel_job(
         self, job_id: JobId, command: commands.CancelJobs
     ) -> CancelOutcome:
--- a/libs/cellstate/src/cassiahold/cellstate/task_ledger.py
+++ b/libs/cellstate/src/cassiahold/cellstate/task_ledger.py
@@ -15,6 +15,7 @@
     WorkerRecord,
     attempt_id,
 )
+from cassiahold.cellstate.late_results import remember_lost
 from cassiahold.cellstate.quotas import ResourceTotals
 from cassiahold.cellstate.stored_state import StoredState
 from cassiahold.cellstate.task_transitions import state_after_loss
@@ -22,6 +23,10 @@
 from cassiahold.core.ids import TeamName, WorkerId
 from cassiahold.core.states import FailureReason, TaskState
 
+_STATES_WITHOUT_SUCCESS: typing.Final = frozenset(
+    (TaskState.WAITING, TaskState.FAILED)
+)
+
 
 class TaskLedger:
     """The tasks of a stored state, with their allocations and counts."""
@@ -74,8 +79,13 @@
         note: str,
         changed_at: float,
     ) -> None:
-        """Change the state of a task, and what follows for its job."""
+        """Change the state of a task, and what follows for its job.
+
+        A task of which an earlier attempt is done neither waits nor fails.
+        """
         task = record.tasks[index]
+        if task.is_done_late and state in _STATES_WITHOUT_SUCCESS:
+            state = TaskState.DONE
         if state is TaskState.FAILED and record.failure_reason is None:
             record.failure_reason = FailureReason.ATTEMPTS
         if state is TaskState.NOT_RUN and task.may_have_run:
@@ -121,6 +131,7 @@
             task = record.tasks[allocation.index]
             self.release_allocation(record, allocation.index)
             task.may_have_run = True
+            remember_lost(task)
             self.set_task_state(
                 record,
                 allocation.index,
--- a/programs/scheduler/src/cassiahold/scheduler/unlisted_attempts.py
+++ b/programs/scheduler/src/cassiahold/scheduler/unlisted_attempts.py
@@ -42,7 +42,8 @@
         if report.term < term and attempt in session.inherited_attempts:
             continue
         allocation = worker.allocation_by_attempt[attempt]
-        must_stop = state.job_by_id[allocation.job].must_stop_attempts
+        record = state.job_by_id[allocation.job]
+        must_stop = record.must_stop_attempt(allocation.index)
         if must_stop or _has_ended(attempt, session, now):
             results.append(_result(attempt, allocation, session, state))
     return results
--- a/programs/scheduler/src/cassiahold/scheduler/worker_reports.py
+++ b/programs/scheduler/src/cassiahold/scheduler/worker_reports.py
@@ -11,6 +11,7 @@
 
 from cassiahold.cellstate import scheduler_commands as commands
 from cassiahold.cellstate.jobs import JobRecord, WorkerRecord
+from cassiahold.cellstate.late_results import is_uncounted
 from cassiahold.cellstate.scheduler_state import SchedulerState
 from cassiahold.core import logs
 from cassiahold.core.crashes import RECENT_START_S
@@ -68,13 +69,16 @@
     ) -> list[commands.AttemptResult]:
         """Return the results of attempts that the state has as running.
 
-        Failures and successes are counted for the worker and the job.
+        Those of attempts that were lost before are added as far as they still
+        count.  Failures and successes are counted for the worker and the job.
         """
         results = []
         for ended in report.ended:
             parts = parse_attempt_id(ended.attempt)
             record = (
-                self._job_of_current_attempt(parts, report) if parts else None
+                self._job_of_uncounted_attempt(parts, ended, report)
+                if parts
+                else None
             )
             if parts is not None and record is not None:
                 results.append(
@@ -125,9 +129,10 @@
                 continue
             record = self._state.job_by_id[allocation.job]
             is_running = attempt in running_ids
-            if is_running and record.must_stop_attempts:
+            must_stop = record.must_stop_attempt(allocation.index)
+            if is_running and must_stop:
                 worker_commands.append(WorkerCommand(CommandKind.STOP, attempt))
-            elif not is_running and not record.must_stop_attempts:
+            elif not is_running and not must_stop:
                 worker_commands.append(
                     self._start_command(
                         attempt, record, allocation.index, worker
@@ -168,19 +173,28 @@
             has_changed |= planner.failure_tracker.record_long_run(worker.id)
         return has_changed
 
-    def _job_of_current_attempt(
-        self, parts: AttemptParts, report: WorkerReport
+    def _job_of_uncounted_attempt(
+        self, parts: AttemptParts, ended: EndedAttempt, report: WorkerReport
     ) -> JobRecord | None:
         record = self._state.job_by_id.get(parts.job)
         if record is None or not 0 <= parts.task_index < len(record.tasks):
             return None
+        is_expected = self._is_current_attempt(
+            parts, record, report
+        ) or is_uncounted(
+            record, parts.task_index, parts.attempt_number, ended.outcome
+        )
+        return record if is_expected else None
+
+    def _is_current_attempt(
+        self, parts: AttemptParts, record: JobRecord, report: WorkerReport
+    ) -> bool:
         task = record.tasks[parts.task_index]
-        is_current = (
+        return (
             task.state is TaskState.RUNNING
             and task.attempt == parts.attempt_number
             and task.worker == report.worker
         )
-        return record if is_current else None
 
     def _process_result(
         self,
@@ -192,12 +206,13 @@
     ) -> commands.AttemptResult:
         planner = self._projection.planner
         counts_against_job = True
+        is_current = self._is_current_attempt(parts, record, report)
         job_name = record.spec.name
         if ended.outcome is AttemptOutcome.DONE:
             task = planner.task_by_key.get(
                 task_key(parts.job, parts.task_index)
             )
-            if task is not None:
+            if task is not None and is_current:
                 planner.learn_from_finished_task(
                     task, task.peak_usage, ended.ran_s
                 )
@@ -210,9 +225,10 @@
                 report.worker, record.team, job_name, now, record.id
             )
             counts_against_job = assessment.counts_against_job
-            self._projection.set_backoff(
-                parts.job, parts.task_index, assessment.backoff_s
-            )
+            if is_current:
+                self._projection.set_backoff(
+                    parts.job, parts.task_index, assessment.backoff_s
+                )
             self._projection.update_worker_state(report.worker)
             if assessment.is_worker_quarantined:
                 logs.warning('worker_quarantined', worker=report.worker)
