Ignore a listed end of a task that its job does not have

Since ends of attempts that were given up are counted, the leader looked up the task of every listed end. A step, occurrence or index that the job does not have, for example of an earlier job with the same id, raised IndexError: the report of the poll failed three times, the worker's polls ended for good, and the worker was lost with all of its attempts once its leases had expired.

The lookup now checks each index, so that such an end is acknowledged and ignored as it was before.

--- a/libs/workflows/src/cassiahold/workflows/late_ends.py
+++ b/libs/workflows/src/cassiahold/workflows/late_ends.py
@@ -10,6 +10,7 @@
     AttemptKey,
     AttemptOutcome,
     JobRecord,
+    TaskKey,
     TaskRecord,
 )
 
@@ -32,17 +33,32 @@
     """Tell whether an end that is told late would still count."""
     if record is None or not record.is_open:
         return False
-    key = attempt.task.step
-    if record.spec.steps[key.step_index].is_long_running:
-        return False
-    task = record.step(key).tasks[attempt.task.task_index]
+    task = _find_task(record, attempt.task)
     return (
-        outcome in _COUNTED_OUTCOMES
+        task is not None
+        and outcome in _COUNTED_OUTCOMES
         and not task.is_done
         and attempt.attempt_number in task.lost_attempt_numbers
     )
 
 
+def _find_task(record: JobRecord, key: TaskKey) -> TaskRecord | None:
+    """Return a task unless it always runs again.
+
+    Returns None, too, for a name that a worker lists and the job does not
+    have: an exception would end the polls of that worker.
+    """
+    step_key = key.step
+    if not 0 <= step_key.occurrence < len(record.steps_by_occurrence):
+        return None
+    if not 0 <= step_key.step_index < len(record.spec.steps):
+        return None
+    tasks = record.step(step_key).tasks
+    if record.spec.steps[step_key.step_index].is_long_running:
+        return None
+    return tasks[key.task_index] if 0 <= key.task_index < len(tasks) else None
+
+
 def replaced_attempts(
     record: JobRecord, attempt: AttemptKey
 ) -> list[AttemptKey]:
--- a/programs/cell/tests/test_late_ends.py
+++ b/programs/cell/tests/test_late_ends.py
@@ -10,11 +10,16 @@
 
 from cassiahold.cell import local_requests as local
 from cassiahold.cell import requests
-from cassiahold.cell.clients import StartRequest
+from cassiahold.cell.clients import PollRequest, StartRequest
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.ids import WorkerId
 from cassiahold.core.testing import function_tests
-from cassiahold.workflows.model import AttemptOutcome, JobState
+from cassiahold.workflows.model import (
+    AttemptKey,
+    AttemptOutcome,
+    JobState,
+    TaskKey,
+)
 from cassiahold.workflows.sessions import (
     EndedAttempt,
     PollReply,
@@ -133,4 +138,26 @@
     assert isinstance(answer, local.SessionClosed)
 
 
+def test_end_of_a_task_that_its_job_does_not_have_is_ignored() -> None:
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    confirm(leader, start)
+    step = start.attempt.task.step
+    for task in (
+        TaskKey(step, 7),
+        TaskKey(step._replace(step_index=7), 0),
+        TaskKey(step._replace(occurrence=7), 0),
+    ):
+        poll = leader.reply_to_poll(
+            'w',
+            running=(RunningAttempt(start.attempt, '', 5),),
+            ended=(
+                EndedAttempt(1, AttemptKey(task, 1), AttemptOutcome.DONE, ''),
+            ),
+        )
+        assert isinstance(poll, PollRequest)
+    assert leader.job_state('/q/1') is JobState.ACTIVE
+
+
 load_tests = function_tests(globals())
