--- /dev/null
+++ b/programs/cell/tests/test_model_faults.py
@@ -0,0 +1,78 @@
+"""Directed histories of the model: a few workers and planned faults."""
+
+import contextlib
+import typing
+
+from model_cell import HeartbeatFaults, ModelCell
+from model_invariants import JobModel
+from model_network import Fate, NetworkFaults, WorkerLink
+from model_simulation import Simulation, simulated_clocks
+
+from cassiahold.core.ids import JobId, WorkerId
+from cassiahold.core.testing import function_tests
+from cassiahold.workflows.model import JobState
+
+V = WorkerId('v')
+W = WorkerId('w')
+JOB = JobId('j')
+SETUP_S = 3.0
+
+
+@contextlib.contextmanager
+def running_cell(
+    faults: NetworkFaults | None = None,
+) -> typing.Iterator[ModelCell]:
+    """Run a cell with the worker ``w`` alone until ``start_worker``."""
+    simulation = Simulation(seed=1)
+    with simulated_clocks(simulation):
+        cell = ModelCell(
+            simulation, ('w',), faults or NetworkFaults(), HeartbeatFaults()
+        )
+        cell.link_by_worker[V] = WorkerLink(simulation, V, cell.network_faults)
+        simulation.run_for(SETUP_S)
+        yield cell
+
+
+def submit(cell: ModelCell, work_s: float) -> None:
+    cell.submit(JobModel(JOB, work_s, 0.0, max_attempts=2))
+
+
+def cut_off(cell: ModelCell, worker: WorkerId) -> None:
+    cell.link_by_worker[worker].is_cut = True
+
+
+def check_all(cell: ModelCell) -> None:
+    """Check that nothing was violated and that the job is complete."""
+    assert not cell.checker.violations, '\n'.join(cell.simulation.history)
+    assert cell.state_by_job[JOB] is JobState.COMPLETE
+
+
+def deregister(cell: ModelCell, worker: WorkerId) -> None:
+    """Let a worker deregister without an acknowledgement."""
+    incarnation = cell.link_by_worker[worker].incarnation
+    assert incarnation is not None
+    cell.deregister(worker, incarnation, lambda: None)
+
+
+def start_unnoticed(cell: ModelCell, worker: WorkerId) -> None:
+    """Start a worker whose heartbeats are lost from now on."""
+    cell.heartbeat_faults.lost = 1.0
+    cell.start_worker(worker)
+
+
+def test_start_is_not_tried_again_after_its_attempt_has_ended() -> None:
+    # The reply to the start is lost, the end is acknowledged, and the worker
+    # restarts under its id before the next try.
+    with running_cell() as cell:
+        cell.link_by_worker[W].planned_start_fates = [Fate.REPLY_LOST]
+        submit(cell, work_s=0.05)
+        cell.simulation.run_for(0.2)
+        assert cell.state_by_job[JOB] is JobState.COMPLETE
+        cell.crash_worker(W)
+        cell.simulation.run_for(0.1)
+        start_unnoticed(cell, W)
+        cell.simulation.run_for(3)
+        check_all(cell)
+
+
+load_tests = function_tests(globals())
