--- a/programs/cell/tests/test_model_faults.py
+++ b/programs/cell/tests/test_model_faults.py
@@ -75,4 +75,19 @@
         check_all(cell)
 
 
+def test_worker_cut_off_after_it_deregistered_keeps_its_attempts() -> None:
+    # The deregistration was not acknowledged, so the worker runs on.
+    with running_cell() as cell:
+        submit(cell, work_s=2.0)
+        cell.simulation.run_for(0.2)
+        cell.start_worker(V)
+        cell.drain_worker(W)
+        cell.simulation.run_for(0.6)
+        deregister(cell, W)
+        cell.simulation.run_for(0.01)
+        cut_off(cell, W)
+        cell.simulation.run_for(20)
+        check_all(cell)
+
+
 load_tests = function_tests(globals())
