--- a/programs/cell/tests/test_model_faults.py
+++ b/programs/cell/tests/test_model_faults.py
@@ -90,4 +90,22 @@
         check_all(cell)
 
 
+def test_done_of_an_attempt_that_was_replaced_is_not_acknowledged() -> None:
+    # The end counts; but a later attempt started after it, and the worker's
+    # lease has not expired since.
+    with running_cell() as cell:
+        submit(cell, work_s=1.0)
+        cell.simulation.run_for(0.2)
+        cell.start_worker(V)
+        cell.drain_worker(W)
+        cell.simulation.run_for(0.6)
+        deregister(cell, W)
+        cell.simulation.run_for(0.01)
+        cut_off(cell, W)
+        cell.simulation.run_for(2)
+        cell.link_by_worker[W].is_cut = False
+        cell.simulation.run_for(5)
+        check_all(cell)
+
+
 load_tests = function_tests(globals())
