--- a/programs/cell/tests/test_model_faults.py
+++ b/programs/cell/tests/test_model_faults.py
@@ -108,4 +108,20 @@
         check_all(cell)
 
 
+def test_lease_of_a_restarted_worker_is_not_taken_for_a_shorter_one() -> None:
+    # On the clock of the new incarnation the end of the lease is far away, so
+    # the worker holds the longest lease that it accepts.
+    with running_cell() as cell:
+        cell.crash_worker(W)
+        cell.simulation.run_for(0.1)
+        start_unnoticed(cell, W)
+        submit(cell, work_s=30.0)
+        cell.simulation.run_for(0.1)
+        cut_off(cell, W)
+        cell.heartbeat_faults.lost = 0.0
+        cell.start_worker(V)
+        cell.simulation.run_for(60)
+        check_all(cell)
+
+
 load_tests = function_tests(globals())
