--- a/programs/cell/tests/test_model_faults.py
+++ b/programs/cell/tests/test_model_faults.py
@@ -124,4 +124,19 @@
         check_all(cell)
 
 
+def test_late_poll_with_a_lease_from_its_arrival_is_waited_for() -> None:
+    faults = NetworkFaults(
+        min_late_s=3.5, max_late_s=3.5, lease_from_arrival=True
+    )
+    with running_cell(faults) as cell:
+        submit(cell, work_s=30.0)
+        cell.simulation.run_for(0.2)
+        cell.link_by_worker[W].planned_poll_fates = [Fate.LATE]
+        cell.simulation.run_for(1.2)
+        cut_off(cell, W)
+        cell.start_worker(V)
+        cell.simulation.run_for(60)
+        check_all(cell)
+
+
 load_tests = function_tests(globals())
