--- a/programs/cell/tests/test_model_faults.py
+++ b/programs/cell/tests/test_model_faults.py
@@ -139,4 +139,21 @@
         check_all(cell)
 
 
+def test_late_start_of_an_ended_attempt_reaches_no_new_incarnation() -> None:
+    # The second try was answered; the first is carried out after a restart.
+    faults = NetworkFaults(
+        min_late_s=2.0, max_late_s=2.0, outlives_restart=True
+    )
+    with running_cell(faults) as cell:
+        cell.link_by_worker[W].planned_start_fates = [Fate.LATE]
+        submit(cell, work_s=0.05)
+        cell.simulation.run_for(1.7)
+        assert cell.state_by_job[JOB] is JobState.COMPLETE
+        cell.crash_worker(W)
+        cell.simulation.run_for(0.2)
+        start_unnoticed(cell, W)
+        cell.simulation.run_for(10)
+        check_all(cell)
+
+
 load_tests = function_tests(globals())
