--- a/programs/cell/tests/model_leader.py
+++ b/programs/cell/tests/model_leader.py
@@ -14,18 +14,15 @@
 from cassiahold.agreement.replica import Proposal
 from cassiahold.cell import local_requests as local
 from cassiahold.cell.clients import PollRequest, StartRequest, StopRequest
+from cassiahold.cell.reply_times import ReplyTimes
 from cassiahold.cell.request_sender import (
     FAILED_POLL_PAUSE_S,
     MAX_START_TRIES,
     _PendingStarts,
 )
 from cassiahold.cell.service import CellService
-from cassiahold.cell.settings import (
-    POLL_TIMEOUT_SLACK_S,
-    REQUEST_TIMEOUT_S,
-    CellSettings,
-)
-from cassiahold.cell.stop_sender import MAX_STOP_TRIES
+from cassiahold.cell.settings import POLL_TIMEOUT_SLACK_S, CellSettings
+from cassiahold.cell.stop_sender import MAX_STOP_TRIES, _StopsBySession
 from cassiahold.cell.tries import Tries, try_again
 from cassiahold.core.exceptions import CassiaholdError
 from cassiahold.core.ids import DataCentre, HostName, WorkerId
@@ -161,17 +158,20 @@
         link_by_worker: typing.Mapping[WorkerId, WorkerLink],
     ) -> None:
         self._process = process
+        self._simulation = process.simulation
         self._link_by_worker = link_by_worker
-        self._pending_starts = _PendingStarts(process.simulation.read_clock)
-        self._pending_stops: set[tuple[int, AttemptKey]] = set()
-        self._repeated_stops: set[tuple[int, AttemptKey]] = set()
+        self._reply_times = ReplyTimes()
+        self._pending_starts = _PendingStarts(self._simulation.read_clock)
+        self._pending_stops = _StopsBySession()
+        self._repeated_stops = _StopsBySession()
+        self._failed_stops = _StopsBySession()
 
     # Called by the service.
 
     def start_polling(self, worker: WorkerInfo, fence: int) -> None:
         self._report(
             local.GetFirstPoll(worker.id, fence),
-            functools.partial(self._poll, fence),
+            functools.partial(self._poll_again, fence, 0),
         )
 
     def send_start(self, request: StartRequest) -> None:
@@ -186,7 +186,7 @@
 
     def send_stop(self, request: StopRequest) -> None:
         self._pending_starts.remove(request.attempt)
-        self._pending_stops.add((request.fence, request.attempt))
+        self._pending_stops.add(request)
         self._process.schedule(0, lambda: self._stop_first(request))
 
     def stop_leading(self) -> None:
@@ -197,22 +197,40 @@
 
     # Polls.
 
-    def _poll(self, fence: int, request: typing.Any) -> None:
+    def _poll_again(
+        self, fence: int, failed_polls: int, request: typing.Any
+    ) -> None:
+        """Send the next poll, after the stops that got no reply."""
         if not isinstance(request, PollRequest) or request.fence != fence:
-            self._pending_stops = {
-                each for each in self._pending_stops if each[0] != fence
-            }
+            self._pending_stops.take_session(fence)
+            self._failed_stops.take_session(fence)
         if not isinstance(request, PollRequest):
             return
-        sent_at = self._process.simulation.now
+        failed_stops = (
+            [] if failed_polls else self._failed_stops.take_session(fence)
+        )
+        self._send_failed_stops(
+            failed_stops, lambda: self._poll(request, failed_polls)
+        )
+
+    def _poll(self, request: PollRequest, failed_polls: int) -> None:
+        sent_at = self._simulation.now
+        worker = request.worker.id
+        slack_s = 2 * self._reply_times.timeout_s(worker, failed_polls)
         self._send(
             request,
-            request.max_wait_s + POLL_TIMEOUT_SLACK_S,
-            lambda outcome: self._finish_poll(request, sent_at, outcome),
+            request.max_wait_s + min(slack_s, POLL_TIMEOUT_SLACK_S),
+            lambda outcome: self._finish_poll(
+                request, sent_at, failed_polls, outcome
+            ),
         )
 
     def _finish_poll(
-        self, request: PollRequest, sent_at: float, outcome: Outcome
+        self,
+        request: PollRequest,
+        sent_at: float,
+        failed_polls: int,
+        outcome: Outcome,
     ) -> None:
         worker = request.worker.id
         pause_s = 0.0
@@ -221,22 +239,43 @@
         except CassiaholdError:
             reply = None
             pause_s = FAILED_POLL_PAUSE_S
+        if reply is not None and not request.max_wait_s:
+            self._reply_times.record(worker, self._simulation.now - sent_at)
         done = local.PollDone(worker, request.fence, reply, sent_at)
-        self._process.schedule(
-            pause_s,
-            lambda: self._report(
-                done, functools.partial(self._poll, request.fence)
-            ),
+        next_poll = functools.partial(
+            self._poll_again,
+            request.fence,
+            failed_polls + 1 if reply is None else 0,
         )
+        self._process.schedule(pause_s, lambda: self._report(done, next_poll))
+
+    def _send_failed_stops(
+        self, stops: list[StopRequest], continue_polling: Action
+    ) -> None:
+        """Send stops in turn until one gets no reply."""
+        if not stops:
+            continue_polling()
+            return
+        request, *others = stops
+
+        def finish(tries: Tries) -> None:
+            if not tries.was_answered:
+                continue_polling()
+                return
+            self._report_stop(request, tries)
+            self._send_failed_stops(others, continue_polling)
+
+        self._try(request, Tries(delivery=local.Delivery.POSSIBLE), finish)
 
     # Starts and stops.
 
     def _start(self, request: StartRequest, tries: Tries) -> None:
         if self._should_try(request, tries):
-            self._send(
-                request,
-                REQUEST_TIMEOUT_S,
-                lambda outcome: self._start(request, try_again(tries, outcome)),
+            self._process.schedule(
+                tries.pause_s(self._simulation.now),
+                lambda: self._try(
+                    request, tries, functools.partial(self._start, request)
+                ),
             )
             return
         self._pending_starts.remove(request.attempt)
@@ -258,35 +297,57 @@
         )
 
     def _stop_first(self, request: StopRequest) -> None:
-        if any(fence == request.fence for fence, _ in self._repeated_stops):
+        if self._repeated_stops.has_session(request.fence):
             self._finish_stop(request, Tries())
         else:
             self._stop(request, Tries())
 
     def _stop(self, request: StopRequest, tries: Tries) -> None:
-        key = (request.fence, request.attempt)
         is_over = tries.was_answered or tries.count >= MAX_STOP_TRIES
-        if is_over or key not in self._pending_stops:
+        if is_over or not self._pending_stops.contains(request):
             self._finish_stop(request, tries)
             return
         if tries.count:
-            self._repeated_stops.add(key)
-        self._send(
-            request,
-            REQUEST_TIMEOUT_S,
-            lambda outcome: self._stop(request, try_again(tries, outcome)),
+            self._repeated_stops.add(request)
+        self._process.schedule(
+            tries.pause_s(self._simulation.now),
+            lambda: self._try(
+                request, tries, functools.partial(self._stop, request)
+            ),
         )
 
     def _finish_stop(self, request: StopRequest, tries: Tries) -> None:
-        key = (request.fence, request.attempt)
-        self._pending_stops.discard(key)
-        self._repeated_stops.discard(key)
+        if self._pending_stops.contains(request) and not tries.was_answered:
+            self._failed_stops.add(request)
+        self._pending_stops.remove(request)
+        self._repeated_stops.remove(request)
+        self._report_stop(request, tries)
+
+    def _report_stop(self, request: StopRequest, tries: Tries) -> None:
         self._report(
             local.StopDone(
                 request.worker.id, request.fence, request.attempt, tries.reply
             )
         )
 
+    def _try(
+        self,
+        request: StartRequest | StopRequest,
+        tries: Tries,
+        finish: typing.Callable[[Tries], None],
+    ) -> None:
+        worker = request.worker.id
+        sent_at = self._simulation.now
+
+        def handle_outcome(outcome: Outcome) -> None:
+            answered = try_again(tries, outcome)
+            if answered.was_answered:
+                self._reply_times.record(worker, self._simulation.now - sent_at)
+            finish(msgspec.structs.replace(answered, tried_at=sent_at))
+
+        timeout_s = self._reply_times.timeout_s(worker, tries.count)
+        self._send(request, timeout_s, handle_outcome)
+
     # Requests and reports.
 
     def _send(
--- a/programs/cell/tests/model_simulation.py
+++ b/programs/cell/tests/model_simulation.py
@@ -10,6 +10,14 @@
 FIRST_TIME_S = 1000.0
 UNIX_TIME_OFFSET_S = 1_000_000_000.0
 
+_MODULES_WITH_CLOCK = (
+    'service',
+    'worker_polls',
+    'attempt_ends',
+    'tries',
+    'reply_times',
+)
+
 Action = typing.Callable[[], typing.Any]
 
 
@@ -54,7 +62,7 @@
 def simulated_clocks(simulation: Simulation) -> typing.Iterator[None]:
     """Let the cell's modules read the simulated time."""
     with contextlib.ExitStack() as stack:
-        for module in ('service', 'worker_polls', 'attempt_ends'):
+        for module in _MODULES_WITH_CLOCK:
             name = f'cassiahold.cell.{module}.boottime_s'
             stack.enter_context(mock.patch(name, simulation.read_clock))
         stack.enter_context(mock.patch('time.time', simulation.unix_time_s))
