Wait for the longest lease of a worker before it counts as expired

A worker that restarted unnoticed under its id reads the end of a lease on its new clock, which starts near 0, and so holds the longest lease that it accepts, 6 s by its clock. The leader counted with the 5.1 s that it had granted, and gave the attempt up 0.4 s before it ended: two runs at a time.

The leader now counts with the longest lease from its sending. Each attempt of a silent worker waits 0.9 s longer: 6.4 s.

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -111,9 +111,8 @@
         self.last_reply_at: float | None = None
         self._acknowledge_until = now
         # An earlier leader may have granted a full lease just before.
-        self.leases_expire_at = (
-            now + max_lease_s / (1 - MAX_CLOCK_DRIFT) + LEASE_MARGIN_S
-        )
+        self.leases_expire_at = now + _longest_lease_s(max_lease_s)
+        self._max_lease_s = max_lease_s
         self._lease_s = max_lease_s * LEASE_SHARE
         self._clock_ms = 0
         self._clock_read_at = now
@@ -188,8 +187,8 @@
             return None
         elapsed_ms = max(now - self._clock_read_at, 0) * _MS
         until_ms = int(self._clock_ms + elapsed_ms + self._lease_s * _MS)
-        duration_s = (until_ms - self._clock_ms) / _MS / (1 - MAX_CLOCK_DRIFT)
-        expires_at = self._clock_read_at + duration_s + LEASE_MARGIN_S
+        # A worker that has restarted unnoticed takes it for the longest lease.
+        expires_at = now + _longest_lease_s(self._max_lease_s)
         self.leases_expire_at = max(self.leases_expire_at, expires_at)
         return until_ms
 
@@ -403,3 +402,8 @@
         self, attempt: AttemptKey, outcome: AttemptOutcome, checkpoint: str
     ) -> AttemptResult:
         return AttemptResult(attempt, self.info.id, outcome, checkpoint)
+
+
+def _longest_lease_s(max_lease_s: float) -> float:
+    """Return how long a worker may hold a lease that it was just granted."""
+    return max_lease_s / (1 - MAX_CLOCK_DRIFT) + LEASE_MARGIN_S
