Count a late end as done without a memory of its attempt

An attempt that was given up is remembered with its task, 16 of them at most, so many refused starts pushed out the one that had ended as done: its end was ignored and acknowledged.

A success needs no memory: it counts for any task that is not done yet. Only failures, which must count once, need it. Found by a review; both new tests failed before.

--- a/libs/workflows/src/cassiahold/workflows/late_ends.py
+++ b/libs/workflows/src/cassiahold/workflows/late_ends.py
@@ -16,9 +16,6 @@
 
 # Of a task; the oldest are forgotten when there are more.
 MAX_LOST_ATTEMPTS_PER_TASK: typing.Final = 16
-_COUNTED_OUTCOMES: typing.Final = frozenset(
-    (AttemptOutcome.DONE, AttemptOutcome.FAILED)
-)
 
 
 def remember_lost(task: TaskRecord, attempt_number: int) -> None:
@@ -34,10 +31,20 @@
     if record is None or not record.is_open:
         return False
     task = _find_task(record, attempt.task)
+    if task is None or task.is_done:
+        return False
+    if outcome is AttemptOutcome.DONE:
+        # No end as done of the task has been counted yet.
+        active = task.active_attempt
+        is_active = (
+            active is not None
+            and active.attempt_number == attempt.attempt_number
+        )
+        return (
+            attempt.attempt_number <= task.last_attempt_number and not is_active
+        )
     return (
-        task is not None
-        and outcome in _COUNTED_OUTCOMES
-        and not task.is_done
+        outcome is AttemptOutcome.FAILED
         and attempt.attempt_number in task.lost_attempt_numbers
     )
 
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -456,7 +456,11 @@
         ):
             return
         task = record.step(key).tasks[result.attempt.task.task_index]
-        task.lost_attempt_numbers.remove(result.attempt.attempt_number)
+        task.lost_attempt_numbers = [
+            number
+            for number in task.lost_attempt_numbers
+            if number != result.attempt.attempt_number
+        ]
         if result.outcome is AttemptOutcome.DONE:
             self._effects.extend(replacement_stops(result.attempt, self))
             self._complete_task(record, result, ended_at)
--- a/programs/cell/tests/test_late_ends.py
+++ b/programs/cell/tests/test_late_ends.py
@@ -10,10 +10,16 @@
 
 from cassiahold.cell import local_requests as local
 from cassiahold.cell import requests
-from cassiahold.cell.clients import PollRequest, StartRequest
+from cassiahold.cell.clients import (
+    PollRequest,
+    ReplyStatus,
+    StartRequest,
+    WorkerReply,
+)
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.ids import WorkerId
 from cassiahold.core.testing import function_tests
+from cassiahold.workflows.late_ends import MAX_LOST_ATTEMPTS_PER_TASK
 from cassiahold.workflows.model import (
     AttemptKey,
     AttemptOutcome,
@@ -52,6 +58,17 @@
     leader.apply_due_commands(boottime_s() + 1.1)
 
 
+def refuse_start(leader: LeaderFixture, start: StartRequest) -> None:
+    leader.handle(
+        local.StartDone(
+            start.worker.id,
+            start.fence,
+            start.attempt,
+            WorkerReply(ReplyStatus.NO_CAPACITY, 1000),
+        )
+    )
+
+
 def started_numbers(leader: LeaderFixture) -> list[int]:
     return [start.attempt.attempt_number for start in leader.sender.starts]
 
@@ -160,4 +177,30 @@
     assert leader.job_state('/q/1') is JobState.ACTIVE
 
 
+def test_done_is_counted_after_many_refused_starts() -> None:
+    leader = make_leader('w')
+    start = give_up_first_attempt(leader)
+    leader.send_heartbeat('v')
+    leader.reply_to_poll('v')
+    for number in range(MAX_LOST_ATTEMPTS_PER_TASK):
+        now = boottime_s() + 0.9 + number / 5
+        leader.reply_to_poll_at('v', now)
+        leader.apply_due_commands(now)
+        refuse_start(leader, leader.sender.starts[-1])
+    assert len(leader.sender.starts) > MAX_LOST_ATTEMPTS_PER_TASK
+    return_with(leader, start, AttemptOutcome.DONE)
+    assert leader.job_state('/q/1') is JobState.COMPLETE
+
+
+def test_done_is_counted_by_a_replica_with_a_snapshot_of_release_0_6() -> None:
+    leader = make_leader('w')
+    start = give_up_first_attempt(leader)
+    step = start.attempt.task.step
+    (task,) = leader.service.state.job_by_id[step.job].step(step).tasks
+    # That release gave the attempt up without remembering it.
+    task.lost_attempt_numbers.clear()
+    return_with(leader, start, AttemptOutcome.DONE)
+    assert leader.job_state('/q/1') is JobState.COMPLETE
+
+
 load_tests = function_tests(globals())
