Count a result that is stored behind the loss of its worker

The results of a poll and the removal of its worker can be proposed in one round. The removal is applied first, and the results behind it in the log were ignored, so a task that had ended as done was started again. A result of an attempt that is not active any more is now counted like any late end. Found by a review; the test failed before.

--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -423,6 +423,8 @@
             attempt is None
             or attempt.attempt_number != result.attempt.attempt_number
         ):
+            # Given up by a command that was applied before this one.
+            self._count_late_end(result, ended_at)
             return
         if attempt.worker != result.worker:
             return
--- a/programs/cell/tests/test_late_ends.py
+++ b/programs/cell/tests/test_late_ends.py
@@ -203,4 +203,22 @@
     assert leader.job_state('/q/1') is JobState.COMPLETE
 
 
+def test_done_stored_behind_the_loss_of_its_worker_is_counted() -> None:
+    # Both commands are proposed before one of them is applied.
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    confirm(leader, start)
+    reply = PollReply(
+        1, 1000, (), (EndedAttempt(1, start.attempt, AttemptOutcome.DONE, ''),)
+    )
+    now = boottime_s()
+    proposal = leader.service.handle_request(
+        local.PollDone(W, leader.sender.fence_by_worker[W], reply, now), now
+    )
+    leader.apply_due_commands(now + LEASE_S)
+    proposal.make_reply(leader.service.apply(proposal.payload))
+    assert leader.job_state('/q/1') is JobState.COMPLETE
+
+
 load_tests = function_tests(globals())
