Send no start that was withdrawn in the pause before its next try

Whether a start is still wanted was asked before the pause of up to 0.2 s between two tries, so one that was withdrawn meanwhile was sent once more, to a worker that may have restarted. It is asked again after the pause. Found by a review; the test failed before.

--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -185,6 +185,8 @@
         tries = Tries()
         while self._should_try(request, tries):
             threading.Event().wait(tries.pause_s(boottime_s()))
+            if not self._should_try(request, tries):
+                break
             tries = try_again(
                 tries,
                 functools.partial(
--- a/programs/cell/tests/test_request_sender.py
+++ b/programs/cell/tests/test_request_sender.py
@@ -153,6 +153,25 @@
     assert client.start.call_count == 1
 
 
+def test_start_withdrawn_between_two_tries_is_not_sent() -> None:
+    attempt = attempt_of('first')
+    reports: queue.SimpleQueue[local.StartDone] = queue.SimpleQueue()
+    with contextlib.ExitStack() as stack:
+        client = mock.Mock()
+        sender = ThreadedRequestSender(client, None, start_threads=1)
+        stack.callback(sender.close)
+        sender.attach(reports.put, _UnusedLeaderClient())
+
+        def lose_reply(*_: typing.Any) -> WorkerReply:
+            threading.Timer(0.01, sender.withdraw_start, (attempt,)).start()
+            raise CassiaholdError(ErrorKind.OUTCOME_UNKNOWN, 'no reply')
+
+        client.start.side_effect = lose_reply
+        sender.send_start(StartRequest(WORKER, attempt, '', 1, 1))
+        reports.get(timeout=TIMEOUT_S)
+    assert client.start.call_count == 1
+
+
 def test_starts_of_a_session_that_has_ended_are_not_repeated() -> None:
     reports: queue.SimpleQueue[local.StartDone] = queue.SimpleQueue()
     with contextlib.ExitStack() as stack:
