Acknowledge no end that the worker has discarded already

Every poll within half a second of a reply repeated the number of the newest stored end. One that is carried out late, by the next incarnation of its worker, which numbers its ends anew, discards ends that nobody has read: their tasks run again. A number is now sent only while the worker lists ends up to it, as it does again when the poll that acknowledged them was lost.

Two tests let a worker that had not got the acknowledgement list no end, and expected the number all the same; their worker now lists the end again, as the protocol says.

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -110,6 +110,7 @@
         self.last_stored_end = 0
         self.last_reply_at: float | None = None
         self._acknowledge_until = now
+        self._first_listed_end: float = math.inf
         # An earlier leader may have granted a full lease just before.
         self.leases_expire_at = now + _longest_lease_s(max_lease_s)
         self._max_lease_s = max_lease_s
@@ -255,9 +256,13 @@
         one it means.  So ends are acknowledged only right after a reply: a
         later poll may reach an incarnation that has restarted unnoticed and
         would discard ends that nobody has read.  Returns 0, which discards
-        nothing, until the next reply.
+        nothing, until the next reply, and after a reply that listed no stored
+        end: its worker has discarded them all.
         """
-        return self.last_stored_end if now < self._acknowledge_until else 0
+        if now >= self._acknowledge_until:
+            return 0
+        is_listed = self._first_listed_end <= self.last_stored_end
+        return self.last_stored_end if is_listed else 0
 
     def record_poll_failed(self) -> None:
         """Record that a poll got no reply: the worker may have restarted.
@@ -318,6 +323,9 @@
         self._alive_at = now
         self.is_failing = False
         self._acknowledge_until = now + ACKNOWLEDGEMENT_WINDOW_S
+        self._first_listed_end = min(
+            (row.end_number for row in reply.ended), default=math.inf
+        )
         self.record_clock(reply.clock_ms, now)
         findings = PollFindings()
         running_attempts = {row.attempt for row in reply.running}
