Remove a replaced worker at once, and keep one that has not left

A reply that was sent before another process was found at a worker's address put its removal off by 1.5 s. A worker that went on after its deregistration, replying to every poll, got no work for as long as the leader led; now it gets work after 10 s.

--- a/programs/cell/src/cassiahold/cell/attempt_starts.py
+++ b/programs/cell/src/cassiahold/cell/attempt_starts.py
@@ -180,7 +180,7 @@
         if reply.status is ReplyStatus.UNHEALTHY:
             session.pause(now)
         if reply.status is ReplyStatus.REPLACED:
-            self._worker_ends.mark_replaced(session.info.id, now)
+            self._worker_ends.mark_replaced(session.info.id)
             if request.delivery is local.Delivery.POSSIBLE:
                 # An earlier try may have started it before the crash; it
                 # ends with the worker, whose removal counts the crash.
--- a/programs/cell/src/cassiahold/cell/worker_ends.py
+++ b/programs/cell/src/cassiahold/cell/worker_ends.py
@@ -3,6 +3,8 @@
 import time
 import typing
 
+import msgspec
+
 from cassiahold.agreement.replica import Proposal
 from cassiahold.cell import local_requests as local
 from cassiahold.cell import requests
@@ -20,6 +22,15 @@
 DEREGISTRATION_DELAY_S: typing.Final = 0.5
 # It has ended, too, if no poll has been replied to for so long.
 DEPARTURE_TIMEOUT_S: typing.Final = POLL_MAX_WAIT_S + POLL_TIMEOUT_SLACK_S
+# A worker that still replies after this time has not left.
+MAX_DEPARTURE_S: typing.Final = 10.0
+
+
+class _Departure(msgspec.Struct):
+    """When a worker deregistered and when it last replied after that."""
+
+    told_at: float
+    replied_at: float
 
 
 class WorkerEnds:
@@ -38,7 +49,9 @@
         self._state = state
         self._sessions = sessions
         self._attempt_ends = attempt_ends
-        self._deregistered_at_by_worker: dict[WorkerId, float] = {}
+        self._departure_by_worker: dict[WorkerId, _Departure] = {}
+        # Workers whose address another process has.
+        self._replaced_workers: set[WorkerId] = set()
         # Departures that may be those of an earlier incarnation.
         self._unconfirmed_departure_at_by_worker: dict[WorkerId, float] = {}
         # Workers whose address another process has taken without notice.
@@ -46,7 +59,10 @@
 
     def is_deregistered(self, worker: WorkerId) -> bool:
         """Tell whether a worker will be removed soon."""
-        return worker in self._deregistered_at_by_worker
+        return (
+            worker in self._departure_by_worker
+            or worker in self._replaced_workers
+        )
 
     def deregister(
         self, request: requests.WorkerLeft, now: float
@@ -80,7 +96,7 @@
     ) -> requests.Acknowledged | Proposal:
         """Remove an incarnation soon and store that it has not crashed."""
         if session is not None and session.info.incarnation == incarnation:
-            self._deregistered_at_by_worker.setdefault(worker, now)
+            self._departure_by_worker.setdefault(worker, _Departure(now, now))
             logs.info('worker_left', worker=worker, born=incarnation)
         if not self._is_departure_new(worker, incarnation):
             return requests.Acknowledged()
@@ -102,29 +118,33 @@
         record = self._state.worker_by_id.get(worker)
         return record is not None and not record.has_departed(incarnation)
 
-    def mark_replaced(self, worker: WorkerId, now: float) -> None:
+    def mark_replaced(self, worker: WorkerId) -> None:
         """Remove a worker soon: another process has its address."""
         session = self._sessions.get(worker)
         if (
             session is not None
             and not self._has_departed(session)
-            and worker not in self._deregistered_at_by_worker
+            and not self.is_deregistered(worker)
             and worker not in self._unconfirmed_departure_at_by_worker
         ):
             self._crashed_workers.add(worker)
-        self._deregistered_at_by_worker.setdefault(
-            worker, now - DEPARTURE_TIMEOUT_S
-        )
+        self._replaced_workers.add(worker)
 
     def record_reply(self, request: local.PollDone, now: float) -> None:
         """Record that a worker replied to a poll, also after it left.
 
         One whose deregistration is not acknowledged may run on for a while.
+        One that does not end gets work again.
         """
         self._forget_late_departure(request)
-        left_at = self._deregistered_at_by_worker.get(request.worker)
-        if left_at is not None and request.sent_at > left_at:
-            self._deregistered_at_by_worker[request.worker] = now
+        departure = self._departure_by_worker.get(request.worker)
+        if departure is None or request.sent_at <= departure.told_at:
+            return
+        if now >= departure.told_at + MAX_DEPARTURE_S:
+            logs.info('worker_has_not_left', worker=request.worker)
+            self._departure_by_worker.pop(request.worker)
+        else:
+            departure.replied_at = now
 
     def record_next_incarnation(self, session: WorkerSession) -> None:
         """Record why the incarnation of a session ended: another follows."""
@@ -137,7 +157,8 @@
 
     def forget(self, worker: WorkerId) -> None:
         """Forget what is known of the earlier incarnations of a worker."""
-        self._deregistered_at_by_worker.pop(worker, None)
+        self._departure_by_worker.pop(worker, None)
+        self._replaced_workers.discard(worker)
         self._unconfirmed_departure_at_by_worker.pop(worker, None)
         self._crashed_workers.discard(worker)
 
@@ -156,10 +177,12 @@
         return removals
 
     def _has_left(self, session: WorkerSession, now: float) -> bool:
-        deregistered_at = self._deregistered_at_by_worker.get(session.info.id)
-        if deregistered_at is None:
+        if session.info.id in self._replaced_workers:
+            return True
+        departure = self._departure_by_worker.get(session.info.id)
+        if departure is None:
             return False
-        elapsed_s = now - deregistered_at
+        elapsed_s = now - departure.replied_at
         return elapsed_s >= DEPARTURE_TIMEOUT_S or (
             session.is_failing and elapsed_s >= DEREGISTRATION_DELAY_S
         )
--- a/programs/cell/src/cassiahold/cell/worker_polls.py
+++ b/programs/cell/src/cassiahold/cell/worker_polls.py
@@ -70,7 +70,7 @@
         if session is None:
             return local.SessionClosed()
         if request.is_other_incarnation:
-            self._worker_ends.mark_replaced(request.worker, now)
+            self._worker_ends.mark_replaced(request.worker)
             return local.SessionClosed()
         if request.reply is None:
             session.record_poll_failed()
--- a/programs/cell/tests/test_departures.py
+++ b/programs/cell/tests/test_departures.py
@@ -4,6 +4,7 @@
 
 import msgspec
 from leader_fixtures import (
+    SPEC,
     LeaderFixture,
     confirm,
     crash_evidence,
@@ -14,14 +15,15 @@
     submit,
 )
 
+from cassiahold.cell import local_requests as local
 from cassiahold.cell import requests
-from cassiahold.cell.clients import StartRequest
+from cassiahold.cell.clients import ReplyStatus, StartRequest, WorkerReply
 from cassiahold.cell.settings import POLL_MAX_WAIT_S
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.ids import WorkerId
 from cassiahold.core.testing import function_tests
 from cassiahold.workflows.crashes import CrashEvidence
-from cassiahold.workflows.sessions import RunningAttempt
+from cassiahold.workflows.sessions import PollReply, RunningAttempt
 
 W = WorkerId('w')
 TAGS_OF_RELEASE_0_5 = frozenset(
@@ -175,6 +177,35 @@
     assert W not in leader.service.state.worker_by_id
 
 
+def test_reply_does_not_delay_the_removal_of_a_replaced_worker() -> None:
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    sent_at = boottime_s()
+    leader.handle(
+        local.StartDone(
+            W, start.fence, start.attempt, WorkerReply(ReplyStatus.REPLACED)
+        )
+    )
+    leader.handle(
+        local.PollDone(W, start.fence, PollReply(1, 1000, (), ()), sent_at)
+    )
+    leader.apply_due_commands(boottime_s() + 0.1)
+    assert W not in leader.service.state.worker_by_id
+
+
+def test_worker_that_did_not_leave_gets_work_again() -> None:
+    leader = make_leader('w')
+    leader.handle(requests.WorkerLeft(W, 1))
+    now = boottime_s()
+    for elapsed_s in range(12):
+        leader.reply_to_poll_at('w', now + elapsed_s)
+        leader.apply_due_commands(now + elapsed_s + 0.1)
+    leader.handle(requests.SubmitWork('h', '/q/1', 'key', SPEC))
+    leader.apply_due_commands(now + 11.5)
+    assert len(leader.sender.starts) == 1
+
+
 def test_departure_without_an_incarnation_is_no_crash() -> None:
     for is_told_late in (False, True):
         leader = make_leader('w')
