Refuse jobs whose id cannot be part of a task's name

What callers saw: a job with a dot in its id was accepted. The names of its tasks have a part too many, so a worker's list of them cannot be read: each attempt counted as lost and started again. An id of any length and an empty one were accepted, too.

Cause: the rest of the path was taken as the id unchecked.

Why it works: the leader refuses such a submission before it proposes it; the users' ids (16 hexadecimal digits) pass.

--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -5,6 +5,7 @@
 commands.
 """
 
+import re
 import time
 import typing
 
@@ -37,6 +38,9 @@
 REPORT_INTERVAL_S: typing.Final = 1.0
 _MS: typing.Final = 1000
 ANONYMOUS_TEAM: typing.Final = TeamName('')
+_MAX_JOB_ID_LENGTH: typing.Final = 64  # characters
+# Names of tasks contain the id of their job, with dots between the parts.
+_JOB_ID: typing.Final = re.compile(rf'[0-9A-Za-z_-]{{1,{_MAX_JOB_ID_LENGTH}}}')
 
 
 class _LeaderState(msgspec.Struct):
@@ -225,11 +229,18 @@
     def submit_job(self, request: requests.SubmitWork) -> Proposal:
         """Propose to store a job.
 
-        Raises ``NOT_CONFIGURED``, ``NOT_FOUND`` or ``UNKNOWN_KEY``.
+        Raises ``NOT_CONFIGURED``, ``NOT_FOUND``, ``UNKNOWN_KEY``, or
+        ``BAD_REQUEST`` for a malformed id.
         """
         queue = self._find_queue(request.host, request.path)
         team = self._authenticate(queue, request.key)
         job = _job_id(queue, request.path)
+        if _JOB_ID.fullmatch(job) is None:
+            raise CassiaholdError(
+                ErrorKind.BAD_REQUEST,
+                f'job id is {job!r}; expected up to {_MAX_JOB_ID_LENGTH} '
+                'letters, digits, hyphens and underscores',
+            )
         command = commands.AcceptJob(
             job, queue.name, team, request.spec, time.time()
         )
