Bound the workers of an advisor query before the conversion

Cause: the quotient of both durations is infinite and has no integer.

Evidence: test_advisor_with_extreme_durations_does_not_end_the_planning failed before with OverflowError.

Why it works: the quotient is bounded as a float.

--- a/libs/workflows/src/cassiahold/workflows/advisor_replies.py
+++ b/libs/workflows/src/cassiahold/workflows/advisor_replies.py
@@ -196,9 +196,10 @@
         advisor = queue.advisor
         if advisor is not None and advisor.per_worker_s > 0:
             extra_time_s = advisor.decision_s * EXTRA_QUERY_TIME_SHARE
-            worker_count = max(
-                worker_count, int(extra_time_s / advisor.per_worker_s)
+            extra_count = min(
+                extra_time_s / advisor.per_worker_s, MAX_WORKERS_PER_QUERY
             )
+            worker_count = max(worker_count, int(extra_count))
         return min(worker_count, MAX_WORKERS_PER_QUERY)
 
     def _update_allowed_share(self, queue: QueueName, share: float) -> None:
