Bound the log lines about malformed requests

What operators saw: a line held whatever a sender had put into its request, an address of a megabyte included, with control characters as they were; and one sender of malformed requests used up the lines of its event for all others.

Cause: only the number of lines of an event was bounded, and only some characters were quoted.

Evidence: test_lines_about_one_path_leave_room_for_others and test_fields_of_other_processes_cannot_break_a_line failed before.

Why it works: a field is cut at 2,000 characters and quoted unless it is printable, the detail of an error, which also goes into the response and to other processes, is cut at 1,000, and a path has 10 of the 50 lines that an event has in a second.

--- a/libs/core/src/cassiahold/core/exceptions.py
+++ b/libs/core/src/cassiahold/core/exceptions.py
@@ -238,10 +238,14 @@
     whole_s: int | None = None
 
 
+MAX_DETAIL_LENGTH: typing.Final = 1000  # characters
+
+
 class CassiaholdError(Exception):
     """An error that is reported to a caller or an operator by its kind.
 
-    ``detail`` names the offending value and what was expected instead.
+    ``detail`` names the offending value and what was expected instead; it is
+    cut at ``MAX_DETAIL_LENGTH``.
     ``hint`` comes from the place that refused the request; ``retry_after``
     and ``retry_advice`` are what its caller is told.
     """
@@ -249,9 +253,9 @@
     def __init__(
         self, kind: ErrorKind, detail: str, hint: RetryHint | None = None
     ) -> None:
-        super().__init__(f'{kind.value}: {detail}')
+        self.detail = detail[:MAX_DETAIL_LENGTH]
+        super().__init__(f'{kind.value}: {self.detail}')
         self.kind = kind
-        self.detail = detail
         self.hint = hint
         self.retry_after: RetryAfter | None = None
         self.retry_advice = RESPONSE_BY_KIND[kind].retry
--- a/libs/core/src/cassiahold/core/logs.py
+++ b/libs/core/src/cassiahold/core/logs.py
@@ -3,7 +3,8 @@
 After ``set_up``, a separate thread writes the lines to standard output, so
 that a slow or closed reader never blocks the caller.  Before it, lines go to
 absl's logger.  Lines of one event beyond ``MAX_LINES_PER_S`` are suppressed
-and counted; so are lines for which the queue has no space.
+and counted, as are those about one path beyond ``MAX_LINES_PER_PATH_S``; so
+are lines for which the queue has no space.  Long fields are cut.
 """
 
 import json
@@ -18,10 +19,12 @@
 from absl import logging
 
 MAX_LINES_PER_S: typing.Final = 50
+MAX_LINES_PER_PATH_S: typing.Final = 10
+MAX_FIELD_LENGTH: typing.Final = 2000  # characters
 MAX_QUEUED_LINES: typing.Final = 4096
 _FLUSH_TIMEOUT_S: typing.Final = 1.0
 _FLUSH_POLL_S: typing.Final = 0.01
-_CHARACTERS_TO_QUOTE = frozenset((' ', '=', '"', '\\', '\n', '\t'))
+_CHARACTERS_TO_QUOTE = frozenset((' ', '=', '"', '\\'))
 
 
 def format_event(event: str, **fields: object) -> str:
@@ -37,6 +40,28 @@
     window_start_s: int = 0
     line_count: int = 0
     suppressed_count: int = 0
+    line_count_by_path: dict[str, int] = msgspec.field(default_factory=dict)
+
+    def start_window(self, now_s: int) -> None:
+        """Forget the lines of an earlier second."""
+        self.window_start_s = now_s
+        self.line_count = 0
+        self.suppressed_count = 0
+        self.line_count_by_path.clear()
+
+    def try_add(self, path: str) -> bool:
+        """Count a line; return False if it has to be suppressed."""
+        path_count = self.line_count_by_path.get(path, 0)
+        if (
+            self.line_count >= MAX_LINES_PER_S
+            or path_count >= MAX_LINES_PER_PATH_S
+        ):
+            self.suppressed_count += 1
+            return False
+        self.line_count += 1
+        if path:
+            self.line_count_by_path[path] = path_count + 1
+        return True
 
 
 class LogWriter:
@@ -60,12 +85,8 @@
         if count.window_start_s != int(now):
             if count.suppressed_count:
                 fields = {**fields, 'left_out': count.suppressed_count}
-            count.window_start_s = int(now)
-            count.line_count = 0
-            count.suppressed_count = 0
-        count.line_count += 1
-        if count.line_count > MAX_LINES_PER_S:
-            count.suppressed_count += 1
+            count.start_window(int(now))
+        if not count.try_add(str(fields.get('path', ''))):
             return
         line = f'time={now:.3f} level={level} {format_event(event, **fields)}'
         try:
@@ -162,6 +183,7 @@
 
 def _format_field(field: object) -> str:
     text = f'{field:.6g}' if isinstance(field, float) else str(field)
-    if not text or _CHARACTERS_TO_QUOTE.intersection(text):
+    text = text[:MAX_FIELD_LENGTH]
+    if not text.isprintable() or _CHARACTERS_TO_QUOTE.intersection(text):
         return json.dumps(text)
-    return text
+    return text or '""'
--- a/libs/core/tests/test_logs.py
+++ b/libs/core/tests/test_logs.py
@@ -6,10 +6,18 @@
 import typing
 from unittest import mock
 
+from cassiahold.core.exceptions import (
+    MAX_DETAIL_LENGTH,
+    CassiaholdError,
+    ErrorKind,
+)
 from cassiahold.core.logs import (
+    MAX_FIELD_LENGTH,
+    MAX_LINES_PER_PATH_S,
     MAX_LINES_PER_S,
     LibraryHandler,
     LogWriter,
+    format_event,
 )
 from cassiahold.core.testing import function_tests
 
@@ -69,6 +77,29 @@
         time.sleep(0.01)
 
 
+def test_lines_about_one_path_leave_room_for_others() -> None:
+    """One sender of malformed requests must not hide the others."""
+    stream = io.StringIO()
+    writer = LogWriter(stream)
+    with mock.patch('time.time', return_value=1000.0):
+        for _ in range(1000):
+            writer.write('info', 'request_refused', {'path': '/noisy'})
+        writer.write('info', 'request_refused', {'path': '/other'})
+    _wait_for_lines(writer, stream, MAX_LINES_PER_PATH_S + 1)
+    lines = stream.getvalue().splitlines()
+    assert len(lines) == MAX_LINES_PER_PATH_S + 1
+    assert lines[-1].endswith('path=/other')
+
+
+def test_fields_of_other_processes_cannot_break_a_line() -> None:
+    line = format_event('refused', path='/\x1b[2J\r\x00', detail='x' * 10**6)
+    assert line.isprintable()
+    assert len(line) < 2 * MAX_FIELD_LENGTH
+    error = CassiaholdError(ErrorKind.BAD_REQUEST, 'x' * 10**6)
+    assert len(error.detail) == MAX_DETAIL_LENGTH
+    assert len(str(error)) < 2 * MAX_DETAIL_LENGTH
+
+
 def _wait_for_lines(writer: LogWriter, stream: io.StringIO, lines: int) -> None:
     for _ in range(200):
         writer.flush()
