Refuse deeply nested bodies in the gateways and calls, too

What callers saw: a report or job with a thousand nested arrays in an unknown field of an inner object got a 500 of a gateway; a call between processes of that kind ended with the status UNKNOWN, that is, as if it might have run.

Cause: as in the platform's interface, RecursionError of the decoder.

The client library's parser of errors was changed likewise, without a test of its own.

Why it works: the same list of errors counts as malformed in all decoders of what other processes write.

--- a/libs/client/src/cassiahold/client/connection.py
+++ b/libs/client/src/cassiahold/client/connection.py
@@ -173,7 +173,7 @@
     try:
         body = msgspec.json.decode(response.data, type=_ErrorBody)
         kind = ErrorKind(body.error)
-    except (msgspec.DecodeError, ValueError):
+    except (ValueError, RecursionError):
         return CassiaholdError(
             ErrorKind.INTERNAL,
             f'malformed error response with status {response.status}',
--- a/libs/wire/src/cassiahold/wire/transport.py
+++ b/libs/wire/src/cassiahold/wire/transport.py
@@ -16,6 +16,7 @@
 from cassiahold.agreement.messages import Envelope, EnvelopeBatch
 from cassiahold.core import logs, tracing
 from cassiahold.core.clock import boottime_s
+from cassiahold.core.decoding import MALFORMED_ERRORS
 from cassiahold.core.drain_rate import DrainRate
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind, RetryHint
 from cassiahold.core.ids import GroupName
@@ -159,7 +160,7 @@
     def _call(self, payload: bytes, _: typing.Any) -> bytes:
         try:
             call = self._codec.decode_call(payload)
-        except msgspec.DecodeError as exc:
+        except MALFORMED_ERRORS as exc:
             return _encode(Refusal(ErrorKind.BAD_REQUEST, str(exc)))
         flow = self._flow_of(call.request) if self._flow_of else ''
         if not self._admission.try_begin(flow):
@@ -293,7 +294,7 @@
             raise self._error_for(exc, connection) from exc
         try:
             return self._codec.decode_reply(raw_reply)
-        except msgspec.DecodeError as exc:
+        except MALFORMED_ERRORS as exc:
             raise CassiaholdError(
                 ErrorKind.OUTCOME_UNKNOWN,
                 f'{self.address}: cannot decode the reply: {exc}',
--- a/libs/wire/tests/test_transport.py
+++ b/libs/wire/tests/test_transport.py
@@ -9,6 +9,9 @@
 import typing
 from unittest import mock
 
+import grpc
+import msgspec
+
 from cassiahold.agreement.messages import Envelope, VoteRequest
 from cassiahold.core.conf.settings import (
     CellSettings,
@@ -35,6 +38,7 @@
 from cassiahold.wire.security import TransportSecurity
 from cassiahold.wire.transport import Channel, PeerSender, RpcServer
 
+NESTING = 100_000  # levels
 PLAIN = TransportSecurity(TlsSettings(mode='plain'), pathlib.Path())
 GROUP = GroupName('g')
 A, B = ReplicaId('a'), ReplicaId('b')
@@ -500,6 +504,22 @@
         )
 
 
+def test_deeply_nested_call_is_refused_as_malformed() -> None:
+    """The error of the decoder was told to the caller as an unknown one."""
+    array_of_one = b'\x91'
+    payload = b'\x81' + msgspec.msgpack.encode('unknown')
+    payload += array_of_one * NESTING + msgspec.msgpack.encode(None)
+    address = free_address()
+    with server(address, lambda group, request: ConfigurationChanged(7)):
+        channel = grpc.insecure_channel(address)
+        with contextlib.closing(channel):
+            reply = channel.unary_unary('/cassiahold.Node/Call')(
+                payload, timeout=5.0
+            )
+    refusal = msgspec.msgpack.decode(reply, type=Refusal)
+    assert refusal.kind is ErrorKind.BAD_REQUEST
+
+
 def test_ticks_go_on_after_an_unexpected_error() -> None:
     # Without ticks a replica neither leads nor votes.
     ticked_again = threading.Event()
--- a/programs/gateway/src/cassiahold/gateway/http.py
+++ b/programs/gateway/src/cassiahold/gateway/http.py
@@ -13,6 +13,7 @@
 
 from cassiahold.core import logs, tracing
 from cassiahold.core.conf.settings import RetrySettings
+from cassiahold.core.decoding import decode_json
 from cassiahold.core.exceptions import (
     CassiaholdError,
     ErrorKind,
@@ -114,10 +115,7 @@
 
     def decode_json(self, body_type: type[_Decoded]) -> _Decoded:
         """Return the JSON body as ``body_type``; raises ``BAD_REQUEST``."""
-        try:
-            return msgspec.json.decode(self.body(), type=body_type)
-        except msgspec.DecodeError as exc:
-            raise CassiaholdError(ErrorKind.BAD_REQUEST, str(exc)) from exc
+        return decode_json(self.body(), body_type, ErrorKind.BAD_REQUEST)
 
     def query_seconds(self, name: str, max_s: float) -> float:
         """Return a duration from the query string, 0 when it is absent.
