Check the numbers and addresses of reports at the gateway

What callers saw: a report with an incarnation, sequence, amount or number of slots beyond 64 bits got a 500. A target with port 0 or 99999, or without an IP number, was acknowledged and handed to every gateway as an endpoint.

Cause: the reports had types but no bounds, and the messages to the scheduler group cannot hold such integers; a target's address was not looked at.

Evidence: test_reports_with_values_out_of_range_are_malformed and test_targets_with_values_out_of_range_are_malformed failed before.

Why it works: the message types carry the bounds, so the gateway and the scheduler check them while decoding; the address is checked as in the platform's interface. The base version of a configuration is bounded likewise, without a test of its own.

--- a/libs/wire/src/cassiahold/wire/messages.py
+++ b/libs/wire/src/cassiahold/wire/messages.py
@@ -5,6 +5,8 @@
 trace spans and error messages.
 """
 
+import typing
+
 import msgspec
 
 from cassiahold.agreement.messages import Membership
@@ -38,6 +40,17 @@
     TaskState,
 )
 
+# The log and the messages hold integers of 64 bits, arithmetic adds some up.
+MAX_AMOUNT: typing.Final = 9_007_199_254_740_992  # 2**53
+MAX_NUMBER: typing.Final = 9_223_372_036_854_775_807  # 2**63 - 1
+_MAX_DURATION_S: typing.Final = 31_536_000  # a year
+_MAX_SPEED: typing.Final = 1_000_000
+_Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+# Incarnations may be times in nanoseconds.
+_Number = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_DURATION_S)]
+_Speed = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_SPEED)]
+
 # Requests of callers, sent by a gateway to a scheduler group.
 
 
@@ -129,8 +142,8 @@
     """An attempt in progress on the worker and its current usage."""
 
     attempt: AttemptId
-    cores_m: int = 0
-    memory_mb: int = 0
+    cores_m: _Amount = 0
+    memory_mb: _Amount = 0
 
 
 class EndedAttempt(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -139,7 +152,7 @@
     attempt: AttemptId
     outcome: AttemptOutcome = msgspec.field(name='how')
     note: str = ''
-    ran_s: float = 0
+    ran_s: _Seconds = 0
 
 
 class WorkerReport(
@@ -156,14 +169,14 @@
     """
 
     worker: WorkerId
-    incarnation: int
+    incarnation: _Number
     data_centre: DataCentre
-    sequence: int
-    term: int = 0
+    sequence: _Number
+    term: _Number = 0
     capacity: Resources
     worker_class: str = ''
     rack: str = ''
-    speed: float = 1.0
+    speed: _Speed = 1.0
     running: list[RunningAttempt] = msgspec.field(default_factory=list)
     ended: list[EndedAttempt] = msgspec.field(default_factory=list)
     # The worker is shutting down and starts no more attempts.
@@ -224,12 +237,12 @@
     """Registration of a target or renewal of its lease."""
 
     target: TargetId
-    incarnation: int
+    incarnation: _Number
     data_centre: DataCentre
     service: ServiceName
     address: str
-    slots: int
-    connections: int
+    slots: _Amount
+    connections: _Amount
     leaving: bool = False
 
 
--- a/programs/gateway/src/cassiahold/gateway/handlers/operators.py
+++ b/programs/gateway/src/cassiahold/gateway/handlers/operators.py
@@ -36,6 +36,7 @@
 
 _CALL_TIMEOUT_S: typing.Final = 5.0
 _STATUS_TIMEOUT_S: typing.Final = 2.0
+_Version = typing.Annotated[int, msgspec.Meta(ge=0, le=messages.MAX_AMOUNT)]
 
 
 class ConfigurationBody(
@@ -47,7 +48,7 @@
     """
 
     change_id: ChangeId
-    base_version: int
+    base_version: _Version
     configuration: Configuration
 
 
--- a/programs/gateway/src/cassiahold/gateway/handlers/reports.py
+++ b/programs/gateway/src/cassiahold/gateway/handlers/reports.py
@@ -2,6 +2,9 @@
 
 import typing
 
+import msgspec
+
+from cassiahold.core.addresses import is_address
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import DataCentre, GroupName
 from cassiahold.gateway.authorization import Authorizer
@@ -44,11 +47,14 @@
         report = request.decode_json(messages.WorkerReport)
         self._check_data_centre(report.data_centre)
         capacity = report.capacity
-        if min(capacity.cores_m, capacity.memory_mb, capacity.accelerators) < 0:
+        if not all(
+            0 <= amount <= messages.MAX_AMOUNT
+            for amount in msgspec.structs.astuple(capacity)
+        ):
             raise CassiaholdError(
                 ErrorKind.BAD_REQUEST,
-                f'capacity of worker {report.worker!r} is {capacity}; no '
-                'amount may be negative',
+                f'capacity of worker {report.worker!r} is {capacity}; '
+                f'expected amounts from 0 to {messages.MAX_AMOUNT}',
             )
         return self._forward(report)
 
@@ -63,6 +69,12 @@
                 f'target {report.target!r} has {report.slots} slots and '
                 f'{report.connections} connections; both must be 1 or more',
             )
+        if not is_address(report.address):
+            raise CassiaholdError(
+                ErrorKind.BAD_REQUEST,
+                f'address of target {report.target!r} is {report.address!r}; '
+                'expected ip:port',
+            )
         return self._forward(report)
 
     def _forward(
