Read malformed attempt ids in a worker's report as unknown ones

What callers saw: one attempt id in a report whose index is a digit that int() does not take, such as a superscript two, or has thousands of digits, failed the whole report with a 500. The worker repeats it with each report, so its lease is not renewed and it is taken for lost.

Cause: str.isdigit() is true for such characters, and int() raises ValueError.

Evidence: test_malformed_attempt_in_a_report_hides_no_other failed before with ValueError.

Why it works: an id has to match the form in which ids are written; any other one is of no attempt of the cell, as before.

--- a/programs/scheduler/src/cassiahold/scheduler/worker_reports.py
+++ b/programs/scheduler/src/cassiahold/scheduler/worker_reports.py
@@ -5,6 +5,7 @@
 and the commands that the worker must carry out.
 """
 
+import re
 import typing
 
 import msgspec
@@ -35,6 +36,9 @@
 # stop, before it is checkpointed or stopped.
 CHECKPOINT_ESCALATION: typing.Final = 3
 STOP_ESCALATION: typing.Final = 6
+_ATTEMPT_ID: typing.Final = re.compile(
+    '([^/]+)/(0|[1-9][0-9]{0,15})/(0|[1-9][0-9]{0,15})'
+)
 
 
 class AttemptParts(msgspec.Struct, frozen=True):
@@ -47,10 +51,10 @@
 
 def parse_attempt_id(attempt: AttemptId) -> AttemptParts | None:
     """Return the parts of an attempt id, None when it is malformed."""
-    job, _, remainder = attempt.partition('/')
-    index, _, number = remainder.partition('/')
-    if not (job and index.isdigit() and number.isdigit()):
+    match = _ATTEMPT_ID.fullmatch(attempt)
+    if match is None:
         return None
+    job, index, number = match.groups()
     return AttemptParts(JobId(job), int(index), int(number))
 
 
--- a/programs/scheduler/tests/test_service.py
+++ b/programs/scheduler/tests/test_service.py
@@ -11,7 +11,7 @@
 )
 
 from cassiahold.core.exceptions import ErrorKind
-from cassiahold.core.ids import TeamName, WorkerId
+from cassiahold.core.ids import AttemptId, TeamName, WorkerId
 from cassiahold.core.states import (
     AttemptOutcome,
     CommandKind,
@@ -268,4 +268,25 @@
         assert not leader.state.worker_by_id
 
 
+def test_malformed_attempt_in_a_report_hides_no_other() -> None:
+    """One such attempt failed every report, and the worker was lost."""
+    with running_leader(workers=1) as driver:
+        driver.submit()
+        driver.advance()
+        attempt = driver.report().commands[0].attempt
+        job = attempt.partition('/')[0]
+        malformed = [
+            AttemptId(f'{job}/{index}/1')
+            for index in ('\xb2', '\u0661', '-1', '1_0', '9' * 5000, '', '/')
+        ]
+        reply = driver.report(
+            running=[running_attempt(other, 900) for other in malformed],
+            ended=[
+                *(ended_attempt(other) for other in malformed),
+                ended_attempt(attempt),
+            ],
+        )
+        assert attempt in reply.confirmed
+
+
 load_tests = function_tests(globals())
