Refuse an unreadable YAML file of any kind

What operators saw: settings, or a configuration given to the command line, that are not UTF-8, nested too deeply, or hold a date or a number out of range ended the program with a traceback instead of an error that names the file. These programs read their settings only at the start, so no running process ended.

Cause: only YAMLError was expected; the loader also raises ValueError and RecursionError.

Evidence: test_unreadable_yaml_is_an_error_with_a_kind failed before with UnicodeDecodeError.

Why it works: all errors of malformed content become the error kind of the file.

--- a/libs/core/src/cassiahold/core/conf/loading.py
+++ b/libs/core/src/cassiahold/core/conf/loading.py
@@ -26,11 +26,13 @@
     line, the value and what was expected.
     """
     try:
-        text = path.read_text()
+        text = path.read_text(encoding='utf-8')
     except OSError as exc:
         raise CassiaholdError(
             error_kind, f'cannot read {path}: {exc.strerror}'
         ) from exc
+    except UnicodeDecodeError as exc:
+        raise CassiaholdError(error_kind, f'{path}: {exc}') from exc
     return parse_yaml(text, target_type, str(path), error_kind)
 
 
@@ -44,7 +46,8 @@
     try:
         root = yaml.compose(text, Loader=yaml.SafeLoader)
         document = yaml.safe_load(text)
-    except yaml.YAMLError as exc:
+    except (yaml.YAMLError, ValueError, RecursionError) as exc:
+        # The loader raises ValueError for a date or a number out of range.
         raise CassiaholdError(error_kind, f'{source}: {exc}') from exc
     _reject_duplicate_keys(root, source, error_kind)
     try:
--- a/libs/core/tests/test_core.py
+++ b/libs/core/tests/test_core.py
@@ -7,7 +7,12 @@
 import typing
 import unittest
 
-from cassiahold.core.conf.settings import Settings, load_settings
+from cassiahold.core.conf.loading import load_yaml
+from cassiahold.core.conf.settings import (
+    CellSettings,
+    Settings,
+    load_settings,
+)
 from cassiahold.core.exceptions import (
     RESPONSE_BY_KIND,
     ErrorKind,
@@ -115,6 +120,24 @@
     assert "line 5: 'host' is given twice" in detail
 
 
+def test_unreadable_yaml_is_an_error_with_a_kind() -> None:
+    """Such a file ended the program with a traceback."""
+    nested = '[' * 5000 + ']' * 5000
+    for content in (
+        b'\xff\xfe',
+        f'hosts: {nested}'.encode(),
+        b'hosts: ' + b'9' * 5000,
+        b'hosts: 2026-13-32',
+    ):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'cell.yaml'
+            path.write_bytes(content)
+            expect_error(
+                ErrorKind.BAD_SETTINGS,
+                lambda path=path: load_yaml(path, CellSettings),
+            )
+
+
 def test_an_error_names_the_file_with_invalid_yaml() -> None:
     assert 'host.yaml' in error_detail('host: [a\n')
 
