--- a/libs/agreement/src/cassiahold/agreement/replica.py
+++ b/libs/agreement/src/cassiahold/agreement/replica.py
@@ -5,7 +5,6 @@
 committed entries to a ``GroupService`` and replies to callers.
 """
 
-import concurrent.futures
 import functools
 import time
 import typing
@@ -16,6 +15,11 @@
 from cassiahold.agreement.membership_planner import MembershipPlanner
 from cassiahold.agreement.messages import Entry, EntryKind, Envelope, Membership
 from cassiahold.agreement.node import RaftNode, RaftTiming, Ready
+from cassiahold.agreement.pending_replies import (
+    PendingReplies,
+    PendingReply,
+    ReplyFuture,
+)
 from cassiahold.agreement.storage import ReplicaStorage
 from cassiahold.core import logs
 from cassiahold.core.clock import boottime_s
@@ -27,8 +31,6 @@
 # Longest wait of a proposal, so that several share messages and a disk sync.
 PROPOSAL_INTERVAL_S: typing.Final = 0.01
 
-ReplyFuture = concurrent.futures.Future[typing.Any]
-
 
 class Proposal(msgspec.Struct, frozen=True):
     """A command for the log and the function that makes the caller's reply.
@@ -173,12 +175,6 @@
     """
 
 
-class _PendingReply(msgspec.Struct, frozen=True):
-    term: int
-    future: ReplyFuture
-    make_reply: typing.Callable[[typing.Any], typing.Any]
-
-
 class Replica(pykka.ThreadingActor):
     """The actor of one replica; its inbox takes the messages above.
 
@@ -201,7 +197,7 @@
         self._transport = transport
         self._proposals: list[Proposal] = []
         self._proposal_futures: list[ReplyFuture] = []
-        self._pending_reply_by_index: dict[int, _PendingReply] = {}
+        self._pending_replies = PendingReplies()
         self._deferred_replies: list[tuple[DeferredReply, ReplyFuture]] = []
         self._unflushed_messages = 0
         self._is_leading = False
@@ -251,7 +247,7 @@
     def on_stop(self) -> None:
         """Close the storage and fail the calls that wait for a commit."""
         self._storage.close()
-        self._fail_pending_replies()
+        self._pending_replies.fail_all()
 
     def handle_tick(self) -> None:
         """Let the protocol check its timeouts."""
@@ -307,8 +303,9 @@
         except CassiaholdError as exc:
             change.future.set_exception(exc)
             return
-        self._pending_reply_by_index[index] = _PendingReply(
-            self._node.term, change.future, lambda _: index
+        self._pending_replies.add(
+            index,
+            PendingReply(self._node.term, change.future, lambda _: index),
         )
 
     def handle_join(self, request: JoinGroup) -> None:
@@ -419,8 +416,11 @@
         )
         first_index = last_index - len(proposals) + 1
         for offset, proposal in enumerate(proposals):
-            self._pending_reply_by_index[first_index + offset] = _PendingReply(
-                self._node.term, futures[offset], proposal.make_reply
+            self._pending_replies.add(
+                first_index + offset,
+                PendingReply(
+                    self._node.term, futures[offset], proposal.make_reply
+                ),
             )
 
     def _process_ready(self, ready: Ready) -> None:
@@ -428,7 +428,7 @@
             self._service.restore(ready.snapshot.state)
             self._storage.save(ready.hard_state, ())
             self._storage.save_snapshot(self._node.log)
-            self._fail_pending_replies()
+            self._pending_replies.fail_all()
         self._storage.save(
             None if ready.snapshot else ready.hard_state, ready.entries
         )
@@ -451,8 +451,8 @@
         outcome = None
         if entry.kind is EntryKind.COMMAND:
             outcome = self._service.apply(entry.payload)
-        pending = self._pending_reply_by_index.pop(entry.index, None)
-        if pending is None or pending.future.done():
+        pending = self._pending_replies.take(entry.index)
+        if pending is None:
             return
         if pending.term != entry.term:
             # Another leader's entry is committed at this index, so the
@@ -514,18 +514,6 @@
             self._node.compact(index, self._service.snapshot())
             self._storage.save_snapshot(self._node.log)
 
-    def _fail_pending_replies(self) -> None:
-        pending_by_index = self._pending_reply_by_index
-        self._pending_reply_by_index = {}
-        for pending in pending_by_index.values():
-            pending.future.set_exception(
-                CassiaholdError(
-                    ErrorKind.OUTCOME_UNKNOWN,
-                    'the replica stopped or installed a snapshot before it '
-                    'applied the command',
-                )
-            )
-
 
 @functools.singledispatch
 def _receive(message: object, replica: Replica) -> None:
