--- a/libs/journal/src/cassiahold/journal/files.py
+++ b/libs/journal/src/cassiahold/journal/files.py
@@ -1,5 +1,6 @@
 """File operations of the journal, behind a protocol that tests replace."""
 
+import errno
 import os
 import pathlib
 import typing
@@ -56,7 +57,10 @@
         descriptor = self._open(path)
         remaining = memoryview(payload)
         while remaining:
-            remaining = remaining[os.write(descriptor, remaining) :]
+            written = os.write(descriptor, remaining)
+            if not written:
+                raise OSError(errno.ENOSPC, 'no byte was written')
+            remaining = remaining[written:]
 
     def sync(self, path: pathlib.Path) -> None:
         """Write the file's content to the disk before returning."""
--- /dev/null
+++ b/libs/journal/tests/test_files.py
@@ -0,0 +1,38 @@
+"""Tests of the file operations of the journal when one of them fails."""
+
+import contextlib
+import errno
+import pathlib
+import tempfile
+import typing
+from unittest import mock
+
+from cassiahold.core.testing import function_tests
+from cassiahold.journal import OsDisk
+
+FULL_DEVICE = '/dev/full'
+NO_ROOM = OSError(errno.ENOSPC, 'no space left on device')
+
+
+@contextlib.contextmanager
+def temporary_folder() -> typing.Iterator[pathlib.Path]:
+    with tempfile.TemporaryDirectory() as name:
+        yield pathlib.Path(name)
+
+
+def test_a_write_of_no_bytes_is_not_repeated_for_ever() -> None:
+    write = mock.Mock(side_effect=(0, AssertionError('it was repeated')))
+    with (
+        temporary_folder() as folder,
+        contextlib.closing(OsDisk(folder)) as disk,
+        mock.patch('os.write', write),
+    ):
+        try:
+            disk.append(folder / 'log', b'record')
+        except OSError as exc:
+            assert exc.errno == errno.ENOSPC
+        else:
+            raise AssertionError('the write was accepted')
+
+
+load_tests = function_tests(globals())
