--- a/libs/journal/src/cassiahold/journal/files.py
+++ b/libs/journal/src/cassiahold/journal/files.py
@@ -1,5 +1,6 @@
 """File operations of the journal, behind a protocol that tests replace."""
 
+import contextlib
 import errno
 import os
 import pathlib
@@ -69,10 +70,13 @@
     def replace(self, path: pathlib.Path, payload: bytes) -> None:
         """Create or replace a whole file atomically and sync it."""
         partial_path = path.with_suffix('.partial')
-        with partial_path.open('wb') as stream:
-            stream.write(payload)
-            stream.flush()
-            os.fsync(stream.fileno())
+        try:
+            _write_and_sync(partial_path, payload)
+        except OSError:
+            # It would keep the room that a full disk lacks.
+            with contextlib.suppress(OSError):
+                partial_path.unlink()
+            raise
         partial_path.replace(path)
         self._sync_folder()
 
@@ -115,3 +119,10 @@
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
+
+
+def _write_and_sync(path: pathlib.Path, payload: bytes) -> None:
+    with path.open('wb') as stream:
+        stream.write(payload)
+        stream.flush()
+        os.fsync(stream.fileno())
--- a/libs/journal/tests/test_files.py
+++ b/libs/journal/tests/test_files.py
@@ -35,4 +35,15 @@
             raise AssertionError('the write was accepted')
 
 
+def test_a_file_that_finds_no_room_keeps_no_room() -> None:
+    # The part that was written stayed on the full disk.
+    with temporary_folder() as folder:
+        (folder / 'state.partial').symlink_to(FULL_DEVICE)
+        try:
+            OsDisk(folder).replace(folder / 'state.snapshot', b'state')
+        except OSError as exc:
+            assert exc.errno == errno.ENOSPC
+        assert not list(folder.iterdir())
+
+
 load_tests = function_tests(globals())
