Sync the name of a new segment again after that failed once

Seen by: nobody yet; a power loss could have lost a whole new segment. Cause: a file that was created, but whose folder could not be synced, was no longer taken for new, so that its name was never synced. Why it works: the file is removed again; its next use creates it and syncs the folder before any record in it counts.

--- a/libs/journal/src/cassiahold/journal/files.py
+++ b/libs/journal/src/cassiahold/journal/files.py
@@ -110,9 +110,17 @@
             self._descriptor = os.open(path, flags, OWNER_ONLY_MODE)
             self._open_path = path
             if is_new:
-                self._sync_folder()
+                self._sync_new_name(path)
         return self._descriptor
 
+    def _sync_new_name(self, path: pathlib.Path) -> None:
+        try:
+            self._sync_folder()
+        except OSError:
+            # The next use has to create the file and sync its name again.
+            self.remove(path)
+            raise
+
     def _sync_folder(self) -> None:
         descriptor = os.open(self._folder, os.O_RDONLY)
         try:
--- a/libs/journal/tests/test_files.py
+++ b/libs/journal/tests/test_files.py
@@ -46,4 +46,20 @@
         assert not list(folder.iterdir())
 
 
+def test_a_file_whose_name_was_not_synced_is_created_again() -> None:
+    # Its name was never synced: it was no longer taken for a new file.
+    with (
+        temporary_folder() as folder,
+        contextlib.closing(OsDisk(folder)) as disk,
+    ):
+        with (
+            mock.patch('os.fsync', side_effect=NO_ROOM),
+            contextlib.suppress(OSError),
+        ):
+            disk.append(folder / 'log', b'record')
+        with mock.patch('os.fsync') as fsync:
+            disk.append(folder / 'log', b'record')
+        assert fsync.called
+
+
 load_tests = function_tests(globals())
