Write no second header into a segment that a torn write left empty

A replica hit by it could not start again (storage_failed: record is damaged), and its process would have ended at each start. Why it works: a segment that is already the current one keeps its size, so that the header is written only into an empty file.

--- a/libs/journal/src/cassiahold/journal/journal.py
+++ b/libs/journal/src/cassiahold/journal/journal.py
@@ -124,10 +124,11 @@
         self._disk.close()
 
     def _start_segment(self, first_record: int) -> None:
-        self._segment_path = (
-            self._folder / f'{first_record:020}{_SEGMENT_SUFFIX}'
-        )
-        self._segment_size = 0
+        path = self._folder / f'{first_record:020}{_SEGMENT_SUFFIX}'
+        # A segment without records, cut after an interrupted write, goes on.
+        if path != self._segment_path:
+            self._segment_path = path
+            self._segment_size = 0
 
     def _load_snapshot(self, names: list[str]) -> bytes | None:
         snapshots = [name for name in names if name.endswith(_SNAPSHOT_SUFFIX)]
--- a/libs/journal/tests/test_journal.py
+++ b/libs/journal/tests/test_journal.py
@@ -201,6 +201,19 @@
         assert load_again(path) == (b'state', [b'after'])
 
 
+def test_a_snapshot_after_an_interrupted_first_write_keeps_one_header() -> None:
+    # A second header made the journal unreadable at the next start.
+    with temporary_folder() as path:
+        (path / f'{1:020}.log').write_bytes(MAGIC + b'torn')
+        journal = Journal(path)
+        assert journal.load() == (None, [])
+        journal.save_snapshot(b'state')
+        journal.append(b'after')
+        journal.sync()
+        journal.close()
+        assert load_again(path) == (b'state', [b'after'])
+
+
 def test_a_missing_segment_is_reported() -> None:
     with temporary_folder() as path:
         journal_with_records(path, 50, segment_bytes=64).close()
