Answer the callers of a replica that fails

Seen by: callers of a leader whose disk failed; they waited until their own time was up, as the process ended without an answer. Cause: an actor that an error stops gets on_failure only, and on_stop, which fails the calls that wait, not at all; calls that were still queued were not answered by on_stop either. Evidence: test_callers_of_a_replica_that_fails_are_answered, which failed before (no answer in 5 s). Why it works: both ways to stop now refuse what is queued, which has not run, and tell the others that the outcome is unknown.

--- a/libs/agreement/src/cassiahold/agreement/replica.py
+++ b/libs/agreement/src/cassiahold/agreement/replica.py
@@ -243,10 +243,12 @@
             kind=exception_type.__name__ if exception_type else '',
             error=exception_value,
         )
+        self.on_stop()
 
     def on_stop(self) -> None:
-        """Close the storage and fail the calls that wait for a commit."""
+        """Close the storage and answer every caller that waits."""
         self._storage.close()
+        self._refuse_queued()
         self._pending_replies.fail_all()
 
     def handle_tick(self) -> None:
@@ -334,6 +336,11 @@
             )
         )
 
+    def _refuse_queued(self) -> None:
+        _refuse(self._proposal_futures, NotLeaderError(None))
+        self._proposals = []
+        self._proposal_futures = []
+
     def _may_serve(self, now: float) -> bool:
         return self._is_leading and self._node.has_valid_lease(now)
 
@@ -408,8 +415,7 @@
         if not proposals:
             return
         if not self._node.is_leader:
-            for future in futures:
-                future.set_exception(NotLeaderError(self._node.leader))
+            _refuse(futures, NotLeaderError(self._node.leader))
             return
         last_index = self._node.propose(
             [proposal.payload for proposal in proposals], boottime_s()
@@ -515,6 +521,11 @@
             self._storage.save_snapshot(self._node.log)
 
 
+def _refuse(futures: list[ReplyFuture], error: NotLeaderError) -> None:
+    for future in futures:
+        future.set_exception(error)
+
+
 @functools.singledispatch
 def _receive(message: object, replica: Replica) -> None:
     raise TypeError(f'unknown message {message!r}')
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import contextlib
+import errno
 import pathlib
 import tempfile
 import threading
@@ -13,6 +14,7 @@
 from cassiahold.agreement.replica import (
     Call,
     LeaseLapsedError,
+    Proposal,
     Replica,
     ReplicaSetup,
     Tick,
@@ -21,7 +23,7 @@
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import GroupName, ReplicaId
 from cassiahold.core.testing import function_tests
-from cassiahold.journal import Journal
+from cassiahold.journal import Journal, OsDisk
 
 REPLICA = ReplicaId('a')
 REPLY_TIMEOUT_S = 5.0
@@ -118,6 +120,23 @@
     assert log.call_args.kwargs['kind'] == 'TypeError'
 
 
+def test_callers_of_a_replica_that_fails_are_answered() -> None:
+    # They waited until their time was up.
+    future: concurrent.futures.Future[typing.Any] = concurrent.futures.Future()
+    failure = OSError(errno.EIO, 'input/output error')
+    with (
+        mock.patch('cassiahold.core.logs.error'),
+        single_replica() as replica,
+    ):
+        ask(replica, 'first')
+        with mock.patch.object(OsDisk, 'sync', side_effect=failure):
+            proposal = Proposal(b'command', lambda outcome: outcome)
+            replica.tell(Call(proposal, future))
+            error = future.exception(REPLY_TIMEOUT_S)
+    assert isinstance(error, CassiaholdError)
+    assert error.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
 def test_leader_without_a_lease_is_told_from_a_follower() -> None:
     future: concurrent.futures.Future[typing.Any] = concurrent.futures.Future()
     with single_replica() as replica:
