Let a replica with a full disk wait for room instead of ending

Why it works: a write without room comes before any sync of it, so what is synced is unharmed. Once there is room it goes on from what its disk holds, as after a restart: the torn end is cut, votes and entries that were not written are forgotten. A failed sync, for whatever reason, is still fatal, as the kernel may have dropped the pages. No room is reserved for votes and terms: a voter that cannot append cannot help the leader that it elects, and a step-down writes nothing.

--- a/libs/agreement/src/cassiahold/agreement/node.py
+++ b/libs/agreement/src/cassiahold/agreement/node.py
@@ -115,7 +115,8 @@
         self._random = random.Random(seed)
         self._saved_hard_state = hard_state
         self._unsaved_entries: list[Entry] = []
-        self._durable_index = log.last_index
+        # The last entry that is written; no later one was sent to any peer.
+        self.durable_index = log.last_index
         self._applied_index = log.snapshot.index
         self._installed_snapshot: Snapshot | None = None
         self._outbox: list[OutgoingMessage] = []
@@ -194,7 +195,7 @@
         """Send a heartbeat, start an election or step down when it is time."""
         if self.is_leader:
             if self._has_lost_quorum(now):
-                self._become_follower(self.term, None, now)
+                self.become_follower(self.term, None, now)
             elif now >= self._next_heartbeat_at:
                 self._replicate(now, heartbeat=True)
         elif now >= self._election_timeout_at:
@@ -204,7 +205,7 @@
         """Process a message from another replica."""
         if message.term > self.term and not _has_prospective_term(message):
             leader = getattr(message, 'leader', None)
-            self._become_follower(message.term, leader, now)
+            self.become_follower(message.term, leader, now)
         _handle(message, self, now)
 
     def ready(self) -> Ready | None:
@@ -215,7 +216,7 @@
         """
         hard_state = HardState(self.term, self._vote)
         is_hard_state_changed = hard_state != self._saved_hard_state
-        last_index = min(self.commit_index, self._durable_index)
+        last_index = min(self.commit_index, self.durable_index)
         committed = self.log.entries_between(
             self._applied_index + 1, last_index
         )
@@ -244,7 +245,7 @@
         if ready.hard_state is not None:
             self._saved_hard_state = ready.hard_state
         if ready.entries:
-            self._durable_index = max(
+            self.durable_index = max(
                 min(self.log.last_index, ready.entries[-1].index),
                 self.log.snapshot.index,
             )
@@ -368,9 +369,10 @@
         self._append(b'', EntryKind.EMPTY)
         self._replicate(now, heartbeat=True)
 
-    def _become_follower(
+    def become_follower(
         self, term: int, leader: ReplicaId | None, now: float
     ) -> None:
+        """Follow a leader, None until it is known, and stop leading."""
         if term > self.term:
             self.term = term
             self._vote = None
@@ -466,7 +468,7 @@
 
     def _advance_commit_index(self) -> None:
         match_indexes = sorted(
-            self._durable_index
+            self.durable_index
             if voter == self.replica
             else self._progress_by_id[voter].match_index
             for voter in self.membership.voters
@@ -540,7 +542,7 @@
             ]
             self.commit_index = snapshot.index
             self._applied_index = snapshot.index
-            self._durable_index = self.log.last_index
+            self.durable_index = self.log.last_index
             self._installed_snapshot = snapshot
             self._adopt_membership()
         self._send(
@@ -556,7 +558,7 @@
 
     def _record_leader_contact(self, leader: ReplicaId, now: float) -> None:
         if self.role is not Role.FOLLOWER:
-            self._become_follower(self.term, leader, now)
+            self.become_follower(self.term, leader, now)
         self.leader = leader
         self._leader_heard_at = now
         self._reset_election_timeout(now)
@@ -573,7 +575,7 @@
                     f'cannot be replaced',
                 )
             self.log.append(entry)
-            self._durable_index = min(self._durable_index, entry.index - 1)
+            self.durable_index = min(self.durable_index, entry.index - 1)
             self._unsaved_entries.append(entry)
             is_changed = True
         if is_changed:
--- a/libs/agreement/src/cassiahold/agreement/pending_replies.py
+++ b/libs/agreement/src/cassiahold/agreement/pending_replies.py
@@ -38,13 +38,32 @@
 
     def fail_all(self) -> None:
         """Tell every caller that the outcome is unknown here."""
-        replies = self._reply_by_index.values()
-        self._reply_by_index = {}
-        for reply in replies:
-            reply.future.set_exception(
-                CassiaholdError(
-                    ErrorKind.OUTCOME_UNKNOWN,
-                    'the replica stopped or installed a snapshot before it '
-                    'applied the command',
-                )
-            )
+        self.fail_after(0)
+
+    def fail_after(self, index: int) -> None:
+        """Tell callers whose entries are after an index that it is unknown.
+
+        For entries that are no longer in the log of this replica; others may
+        still have and commit them.
+        """
+        self._set_errors_after(
+            index,
+            CassiaholdError(
+                ErrorKind.OUTCOME_UNKNOWN,
+                'the replica has dropped the command before it was applied',
+            ),
+        )
+
+    def refuse_after(self, index: int, error: CassiaholdError) -> None:
+        """Refuse the callers whose entries are after an index.
+
+        For entries that were never written or sent, so that none can run.
+        """
+        self._set_errors_after(index, error)
+
+    def _set_errors_after(self, index: int, error: CassiaholdError) -> None:
+        dropped = [other for other in self._reply_by_index if other > index]
+        for other in dropped:
+            reply = self._reply_by_index.pop(other)
+            if not reply.future.done():
+                reply.future.set_exception(error)
--- a/libs/agreement/src/cassiahold/agreement/replica.py
+++ b/libs/agreement/src/cassiahold/agreement/replica.py
@@ -12,6 +12,7 @@
 import msgspec
 import pykka
 
+from cassiahold.agreement.disk_wait import DiskFullObserver, DiskWait
 from cassiahold.agreement.membership_planner import MembershipPlanner
 from cassiahold.agreement.messages import Entry, EntryKind, Envelope, Membership
 from cassiahold.agreement.node import RaftNode, RaftTiming, Ready
@@ -23,9 +24,15 @@
 from cassiahold.agreement.storage import ReplicaStorage
 from cassiahold.core import logs
 from cassiahold.core.clock import boottime_s
-from cassiahold.core.exceptions import CassiaholdError, ErrorKind
+from cassiahold.core.exceptions import (
+    CassiaholdError,
+    DiskFullError,
+    ErrorKind,
+)
 from cassiahold.core.ids import GroupName, ReplicaId
 
+# Reported instead of the role of a replica that waits for room on its disk.
+DISK_FULL_ROLE: typing.Final = 'disk_full'
 MAX_MESSAGES_PER_FLUSH: typing.Final = 256
 MEMBERSHIP_CHECK_INTERVAL_S: typing.Final = 0.2
 # Longest wait of a proposal, so that several share messages and a disk sync.
@@ -178,7 +185,9 @@
 class Replica(pykka.ThreadingActor):
     """The actor of one replica; its inbox takes the messages above.
 
-    A failure of its disk or its service stops the actor.
+    A failure of its disk or its service stops the actor.  A full disk does
+    not: the replica acts as if it were down until there is room, and then
+    goes on from what its disk holds, as after a restart.
     """
 
     use_daemon_thread = True
@@ -189,6 +198,7 @@
         storage: ReplicaStorage,
         service: GroupService,
         transport: PeerTransport,
+        on_disk_full: DiskFullObserver | None = None,
     ) -> None:
         super().__init__()
         self._setup = setup
@@ -207,20 +217,20 @@
         self._next_membership_check_at = 0.0
         self._next_proposal_at = 0.0
         self._is_proposal_delayed = False
-        recovered = storage.recover(setup.initial_membership)
-        if recovered.log.snapshot.state:
-            service.restore(recovered.log.snapshot.state)
-        self._node = RaftNode(
-            setup.replica,
-            recovered.log,
-            recovered.hard_state,
-            setup.timing,
-            boottime_s(),
-            setup.seed,
+        self._disk_wait = DiskWait(
+            setup.group, setup.replica, storage, on_disk_full
         )
+        self._initial_state = service.snapshot()
+        self._node = self._recover(state_without_snapshot=b'')
 
     def on_receive(self, message: typing.Any) -> None:
         """Process one message; propose and write once the inbox is empty."""
+        try:
+            self._process_message(message)
+        except DiskFullError as exc:
+            self._wait_for_room(exc)
+
+    def _process_message(self, message: typing.Any) -> None:
         _receive(message, self)
         self._unflushed_messages += 1
         is_full = self._unflushed_messages >= MAX_MESSAGES_PER_FLUSH
@@ -253,11 +263,18 @@
 
     def handle_tick(self) -> None:
         """Let the protocol check its timeouts."""
-        self._node.tick(boottime_s())
+        now = boottime_s()
+        if self._disk_wait.is_waiting:
+            if self._disk_wait.has_room(now):
+                self._node = self._recover(self._initial_state)
+                self._disk_wait.end(now)
+            return
+        self._node.tick(now)
 
     def handle_envelope(self, envelope: Envelope) -> None:
         """Process a message from another replica."""
-        self._node.step(envelope.message, boottime_s())
+        if not self._disk_wait.is_waiting:
+            self._node.step(envelope.message, boottime_s())
 
     def handle_call(self, call: Call) -> None:
         """Reply to a request, or queue its proposal."""
@@ -327,7 +344,9 @@
             ReplicaView(
                 self._setup.group,
                 self._setup.replica,
-                node.role.value,
+                DISK_FULL_ROLE
+                if self._disk_wait.is_waiting
+                else node.role.value,
                 node.term,
                 node.leader,
                 node.commit_index,
@@ -336,6 +355,37 @@
             )
         )
 
+    def _recover(self, state_without_snapshot: bytes) -> RaftNode:
+        """Return a node with the state on the disk; restore the service."""
+        setup = self._setup
+        recovered = self._storage.recover(setup.initial_membership)
+        state = recovered.log.snapshot.state or state_without_snapshot
+        if state:
+            self._service.restore(state)
+        return RaftNode(
+            setup.replica,
+            recovered.log,
+            recovered.hard_state,
+            setup.timing,
+            boottime_s(),
+            setup.seed,
+        )
+
+    def _wait_for_room(self, error: DiskFullError) -> None:
+        """Step down and answer every caller; write nothing until then."""
+        now = boottime_s()
+        self._disk_wait.begin(error, now)
+        self._unflushed_messages = 0
+        self._is_proposal_delayed = False
+        self._node.become_follower(self._node.term, None, now)
+        self._update_leadership()
+        self._send_deferred_replies()
+        self._refuse_queued()
+        self._pending_replies.refuse_after(
+            self._node.durable_index, NotLeaderError(None)
+        )
+        self._pending_replies.fail_all()
+
     def _refuse_queued(self) -> None:
         _refuse(self._proposal_futures, NotLeaderError(None))
         self._proposals = []
@@ -351,6 +401,8 @@
             self._flush()
 
     def _flush(self) -> None:
+        if self._disk_wait.is_waiting:
+            return
         now = boottime_s()
         self._is_proposal_delayed = (
             self._is_leading and now < self._next_proposal_at
--- a/libs/agreement/src/cassiahold/agreement/storage.py
+++ b/libs/agreement/src/cassiahold/agreement/storage.py
@@ -28,7 +28,8 @@
 class ReplicaStorage:
     """Writes a replica's durable state to its journal.
 
-    Everything that ``save`` was given is durable once it returns.
+    Everything that ``save`` was given is durable once it returns.  After a
+    ``DiskFullError`` call ``recover`` before any other use.
     """
 
     def __init__(self, journal: Journal) -> None:
@@ -54,8 +55,12 @@
         return self._record_count
 
     def recover(self, initial_membership: Membership) -> RecoveredState:
-        """Load the journal; ``initial_membership`` applies if it is empty."""
+        """Load the journal; ``initial_membership`` applies if it is empty.
+
+        What ``save`` could not write for lack of room is forgotten.
+        """
         raw_snapshot, records = self._journal.load()
+        self._hard_state = HardState()
         snapshot = Snapshot(0, 0, initial_membership)
         entries: list[Entry] = []
         if raw_snapshot is not None:
@@ -97,6 +102,10 @@
         self._record_count = len(entries)
         self._size_bytes = 0
 
+    def has_room(self, size: int) -> bool:
+        """Tell whether the disk takes ``size`` more bytes."""
+        return self._journal.has_room(size)
+
     def close(self) -> None:
         """Close the journal."""
         self._journal.close()
--- a/libs/core/src/cassiahold/core/exceptions.py
+++ b/libs/core/src/cassiahold/core/exceptions.py
@@ -274,6 +274,18 @@
     return exc.detail if isinstance(exc, CassiaholdError) else str(exc)
 
 
+class DiskFullError(CassiaholdError):
+    """A write that failed for lack of room, before any sync of it.
+
+    Nothing that was synced earlier is affected.  ``needed_bytes`` is the
+    size of the write.
+    """
+
+    def __init__(self, detail: str, needed_bytes: int) -> None:
+        super().__init__(ErrorKind.STORAGE_FAILED, detail)
+        self.needed_bytes = needed_bytes
+
+
 class InvariantError(CassiaholdError):
     """An operation that would violate one of the system's invariants.
 
--- a/libs/journal/src/cassiahold/journal/files.py
+++ b/libs/journal/src/cassiahold/journal/files.py
@@ -7,6 +7,12 @@
 import typing
 
 OWNER_ONLY_MODE: typing.Final = 0o600
+_OUT_OF_SPACE_ERRNOS: typing.Final = frozenset((errno.ENOSPC, errno.EDQUOT))
+
+
+def is_out_of_space(exc: OSError) -> bool:
+    """Tell whether a file operation failed for lack of room or quota."""
+    return exc.errno in _OUT_OF_SPACE_ERRNOS
 
 
 class Disk(typing.Protocol):
--- a/libs/wire/src/cassiahold/wire/replica_server.py
+++ b/libs/wire/src/cassiahold/wire/replica_server.py
@@ -72,6 +72,7 @@
     ) -> None:
         self._settings = settings
         self._role = role
+        self._metrics = metrics
         self._stack = contextlib.ExitStack()
         self._security = TransportSecurity(settings.host.tls, settings.folder)
         self._sender_lock = threading.Lock()
@@ -191,7 +192,15 @@
             seed=hash((group.name, own_replica, time.time_ns())),
         )
         storage = ReplicaStorage(Journal(folder))
-        ref = Replica.start(setup, storage, service, self)
+        ref = Replica.start(
+            setup,
+            storage,
+            service,
+            self,
+            lambda is_full: self._metrics.gauge(
+                f'disk_full.{group.name}', int(is_full)
+            ),
+        )
         self._actor_by_group[group.name] = ref
         self._stack.callback(_stop_actor, ref)
 
--- a/programs/cell/src/cassiahold/cell/node.py
+++ b/programs/cell/src/cassiahold/cell/node.py
@@ -88,6 +88,7 @@
             settings.election_s, settings.retry.default_rate_per_s
         )
         self._contact_failure_kind = ''  # while offers to the leader fail
+        self._is_disk_full = False
         self._request_sender: ThreadedRequestSender | None = None
         self.directory = ReplicaDirectory(settings.seeds)
         self.leader_client = LeaderClient(
@@ -123,8 +124,10 @@
 
         Turns False before requests are refused: where the leader cannot be
         reached, a load balancer should send callers to another data centre.
+        False as well while the disk of the replica is full.
         """
-        return self.leader_client.leader_silence_s() < MAX_READY_SILENCE_S
+        silence_s = self.leader_client.leader_silence_s()
+        return silence_s < MAX_READY_SILENCE_S and not self._is_disk_full
 
     def close(self) -> None:
         """Close connections and the server, then the replica's threads."""
@@ -277,6 +280,11 @@
             workers, advisor, settings.start_threads
         )
         service = CellService(settings, request_sender, metrics)
+
+        def record_disk_full(is_full: bool) -> None:
+            self._is_disk_full = is_full
+            metrics.gauge('disk_full', int(is_full))
+
         journal_folder = folder / 'log'
         self._request_sender = request_sender
         self._stack.callback(request_sender.close)
@@ -294,6 +302,7 @@
             ReplicaStorage(Journal(journal_folder)),
             service,
             self._peer_senders,
+            record_disk_full,
         )
         self._stack.callback(_stop_actor, self._replica)
         request_sender.attach(self._call_replica, self.leader_client)
--- a/tools/bench/src/cassiahold/bench/faults/seed_runner.py
+++ b/tools/bench/src/cassiahold/bench/faults/seed_runner.py
@@ -14,6 +14,7 @@
 from cassiahold.bench.faults.agreement import AgreementMachine
 from cassiahold.bench.faults.crashing import CrashingMachine
 from cassiahold.bench.faults.escrow import EscrowMachine
+from cassiahold.bench.faults.full_disks import FullDiskMachine
 from cassiahold.bench.faults.scheduling import SchedulingMachine
 from cassiahold.bench.faults.slots import SlotMachine
 
@@ -39,6 +40,7 @@
     'agreement': AgreementMachine,
     'crashing': CrashingMachine,
     'escrow': EscrowMachine,
+    'full_disks': FullDiskMachine,
     'scheduling': SchedulingMachine,
     'slots': SlotMachine,
 }
