Let a process that starts on a full disk wait for room

Seen by: nobody yet; a replica that came back with an empty and full disk would have ended and been started again for as long as the disk was full. All other failures still end the process.

--- a/libs/core/src/cassiahold/core/lifecycle.py
+++ b/libs/core/src/cassiahold/core/lifecycle.py
@@ -14,6 +14,7 @@
 from cassiahold.core import logs, tracing
 from cassiahold.core.conf.settings import Settings, load_settings
 from cassiahold.core.exceptions import CassiaholdError
+from cassiahold.core.startup import start_when_disk_has_room
 
 EXIT_FAILED: typing.Final = 1
 EXIT_BAD_SETTINGS: typing.Final = 2
@@ -103,13 +104,28 @@
             )
         )
         try:
-            program = start(settings, stack)
+            program = start_when_disk_has_room(
+                lambda: _start_on(stack, start, settings),
+                signals.stop_requested,
+            )
         except CassiaholdError as exc:
             return _report_start_failure(name, exc, EXIT_FAILED)
+        if program is None:
+            return 0
         logs.info('started', program=name, host=settings.own_host.name)
         return _run(name, program, signals)
 
 
+def _start_on(
+    stack: contextlib.ExitStack, start: StartProgram, settings: Settings
+) -> DaemonProgram:
+    """Start a program; what it has registered is closed if it fails."""
+    with contextlib.ExitStack() as startup:
+        program = start(settings, startup)
+        stack.push(startup.pop_all())
+        return program
+
+
 def _run(name: str, program: DaemonProgram, signals: DaemonSignals) -> int:
     while not signals.stop_requested.wait(_LIVENESS_CHECK_INTERVAL_S):
         if not program.is_alive:
--- a/programs/cell/src/cassiahold/cell/identity.py
+++ b/programs/cell/src/cassiahold/cell/identity.py
@@ -10,8 +10,12 @@
 
 import msgspec
 
-from cassiahold.core.exceptions import CassiaholdError, ErrorKind
-from cassiahold.journal import OsDisk
+from cassiahold.core.exceptions import (
+    CassiaholdError,
+    DiskFullError,
+    ErrorKind,
+)
+from cassiahold.journal import OsDisk, is_out_of_space
 
 # Name of every disk that belongs to a voter of the cell's first start.
 FIRST_VOTER_NAME: typing.Final = 'first'
@@ -35,15 +39,17 @@
     """Return the disk's identity; create and sync one for an empty disk.
 
     ``first_voters`` is empty except at the cell's first start.  Raises
-    ``STORAGE_FAILED`` when the file cannot be read, decoded or written.
+    ``STORAGE_FAILED`` when the file cannot be read, decoded or written, as a
+    ``DiskFullError`` if only room is lacking.
     """
     path = folder / _IDENTITY_FILE
     try:
         return _load_or_write(path, address, first_voters)
     except (OSError, msgspec.DecodeError) as exc:
-        raise CassiaholdError(
-            ErrorKind.STORAGE_FAILED, f'{path}: {exc}'
-        ) from exc
+        detail = f'{path}: {exc}'
+        if isinstance(exc, OSError) and is_out_of_space(exc):
+            raise DiskFullError(detail, needed_bytes=0) from exc
+        raise CassiaholdError(ErrorKind.STORAGE_FAILED, detail) from exc
 
 
 def _load_or_write(
--- a/programs/cell/tests/test_full_disk.py
+++ b/programs/cell/tests/test_full_disk.py
@@ -9,14 +9,16 @@
 import typing
 from unittest import mock
 
+from cassiahold.cell.identity import load_identity
 from cassiahold.cell.leader_client import LeaderClient
 from cassiahold.cell.node import CellNode
 from cassiahold.cell.requests import Locate
 from cassiahold.cell.settings import CellSettings
 from cassiahold.core.conf.settings import TlsSettings
+from cassiahold.core.exceptions import DiskFullError, ErrorKind
 from cassiahold.core.ids import DataCentre, HostName
 from cassiahold.core.metrics import PrometheusMetrics
-from cassiahold.core.testing import function_tests
+from cassiahold.core.testing import expect_error, function_tests
 from cassiahold.journal import OsDisk
 from cassiahold.wire.security import TransportSecurity
 
@@ -56,6 +58,19 @@
     return getattr(node.handle(Locate()), 'leader', None) is not None
 
 
+def test_an_identity_that_finds_no_room_is_a_full_disk() -> None:
+    # The process ended, and was started again on the same full disk.
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        mock.patch.object(OsDisk, 'replace', side_effect=NO_ROOM),
+    ):
+        error = expect_error(
+            ErrorKind.STORAGE_FAILED,
+            lambda: load_identity(pathlib.Path(folder), 'h:1', ()),
+        )
+    assert isinstance(error, DiskFullError)
+
+
 def test_a_process_with_a_full_disk_runs_on_and_is_not_ready() -> None:
     metrics = PrometheusMetrics()
     with (
