--- a/libs/agreement/src/cassiahold/agreement/replica.py
+++ b/libs/agreement/src/cassiahold/agreement/replica.py
@@ -12,8 +12,12 @@
 import msgspec
 import pykka
 
+from cassiahold.agreement.deferred_replies import (
+    DeferredReplies,
+    DeferredReply,
+)
 from cassiahold.agreement.disk_wait import DiskFullObserver, DiskWait
-from cassiahold.agreement.membership_planner import MembershipPlanner
+from cassiahold.agreement.membership_upkeep import MembershipUpkeep
 from cassiahold.agreement.messages import Entry, EntryKind, Envelope, Membership
 from cassiahold.agreement.node import RaftNode, RaftTiming, Ready
 from cassiahold.agreement.pending_replies import (
@@ -34,7 +38,6 @@
 # Reported instead of the role of a replica that waits for room on its disk.
 DISK_FULL_ROLE: typing.Final = 'disk_full'
 MAX_MESSAGES_PER_FLUSH: typing.Final = 256
-MEMBERSHIP_CHECK_INTERVAL_S: typing.Final = 0.2
 # Longest wait of a proposal, so that several share messages and a disk sync.
 PROPOSAL_INTERVAL_S: typing.Final = 0.01
 
@@ -50,17 +53,6 @@
     make_reply: typing.Callable[[typing.Any], typing.Any]
 
 
-class DeferredReply(msgspec.Struct, frozen=True):
-    """A reply that is made at ``due_at``, to include what happens until then.
-
-    ``due_at`` is a time of ``boottime_s``.  The reply is made earlier when
-    the replica stops leading.
-    """
-
-    due_at: float
-    make_reply: typing.Callable[[], typing.Any]
-
-
 class GroupService(typing.Protocol):
     """The replicated state machine of a group and its request handlers.
 
@@ -208,13 +200,12 @@
         self._proposals: list[Proposal] = []
         self._proposal_futures: list[ReplyFuture] = []
         self._pending_replies = PendingReplies()
-        self._deferred_replies: list[tuple[DeferredReply, ReplyFuture]] = []
+        self._deferred_replies = DeferredReplies()
         self._unflushed_messages = 0
         self._is_leading = False
-        self._membership_planner = MembershipPlanner(
-            setup.replica, setup.target_voters
+        self._membership_upkeep = MembershipUpkeep(
+            setup.group, setup.replica, setup.target_voters
         )
-        self._next_membership_check_at = 0.0
         self._next_proposal_at = 0.0
         self._is_proposal_delayed = False
         self._disk_wait = DiskWait(
@@ -332,7 +323,7 @@
         if not self._may_serve(boottime_s()):
             request.future.set_exception(NotLeaderError(self._node.leader))
             return
-        self._membership_planner.record_join_request(
+        self._membership_upkeep.record_join_request(
             request.replica, boottime_s()
         )
         request.future.set_result(None)
@@ -379,7 +370,7 @@
         self._is_proposal_delayed = False
         self._node.become_follower(self._node.term, None, now)
         self._update_leadership()
-        self._send_deferred_replies()
+        self._deferred_replies.send_due(now, is_leading=self._is_leading)
         self._refuse_queued()
         self._pending_replies.refuse_after(
             self._node.durable_index, NotLeaderError(None)
@@ -418,7 +409,9 @@
             ready = self._node.ready()
         # Entries that a newer leader's log does not have were removed.
         self._pending_replies.fail_after(self._node.log.last_index)
-        self._send_deferred_replies()
+        self._deferred_replies.send_due(
+            boottime_s(), is_leading=self._is_leading
+        )
         self._update_leadership()
         if self._needs_snapshot():
             self._take_snapshot()
@@ -427,40 +420,11 @@
         now = boottime_s()
         if not self._may_serve(now):
             return
-        if self._setup.target_voters and now >= self._next_membership_check_at:
-            self._next_membership_check_at = now + MEMBERSHIP_CHECK_INTERVAL_S
-            self._propose_membership_change(now)
+        self._membership_upkeep.propose_if_due(self._node, now)
         commands = self._service.due_commands(now)
         if commands:
             self._node.propose(commands, now)
 
-    def _propose_membership_change(self, now: float) -> None:
-        node = self._node
-        if node.membership_index > node.commit_index:
-            return
-        change = self._membership_planner.next_change(
-            node.membership, node.peer_status_by_id(now), now
-        )
-        if change is None:
-            return
-        try:
-            node.propose_membership(change, now)
-        except CassiaholdError as exc:
-            logs.warning(
-                'membership_refused',
-                group=self._setup.group,
-                membership=change,
-                reason=exc.detail,
-            )
-            return
-        logs.info(
-            'membership_proposed',
-            group=self._setup.group,
-            voters=','.join(change.voters),
-            learners=','.join(change.learners),
-            term=node.term,
-        )
-
     def _propose_queued(self) -> None:
         proposals = self._proposals
         futures = self._proposal_futures
@@ -525,7 +489,7 @@
             pending.future.set_exception(exc)
             return
         if isinstance(reply, DeferredReply):
-            self._deferred_replies.append((reply, pending.future))
+            self._deferred_replies.add(reply, pending.future)
         else:
             pending.future.set_result(reply)
 
@@ -547,19 +511,6 @@
         else:
             self._service.stop_leading()
 
-    def _send_deferred_replies(self) -> None:
-        now = boottime_s()
-        deferred_replies = self._deferred_replies
-        self._deferred_replies = []
-        for deferred, future in deferred_replies:
-            if self._is_leading and now < deferred.due_at:
-                self._deferred_replies.append((deferred, future))
-                continue
-            try:
-                future.set_result(deferred.make_reply())
-            except CassiaholdError as exc:
-                future.set_exception(exc)
-
     def _needs_snapshot(self) -> bool:
         # With large commands the log reaches its size limit long before the
         # limit on the number of records.
--- a/programs/scheduler/src/cassiahold/scheduler/worker_requests.py
+++ b/programs/scheduler/src/cassiahold/scheduler/worker_requests.py
@@ -3,7 +3,8 @@
 import time
 import typing
 
-from cassiahold.agreement.replica import DeferredReply, Proposal
+from cassiahold.agreement.deferred_replies import DeferredReply
+from cassiahold.agreement.replica import Proposal
 from cassiahold.cellstate import scheduler_commands as commands
 from cassiahold.cellstate.jobs import WorkerRecord
 from cassiahold.cellstate.scheduler_state import SchedulerState
--- a/programs/scheduler/tests/leader_driver.py
+++ b/programs/scheduler/tests/leader_driver.py
@@ -5,7 +5,8 @@
 import typing
 from unittest import mock
 
-from cassiahold.agreement.replica import DeferredReply, Proposal
+from cassiahold.agreement.deferred_replies import DeferredReply
+from cassiahold.agreement.replica import Proposal
 from cassiahold.cellstate import scheduler_commands as commands
 from cassiahold.cellstate.jobs import JobSpec
 from cassiahold.cellstate.quotas import QuotaOffer, ResourceTotals
--- a/tools/bench/src/cassiahold/bench/faults/scheduling.py
+++ b/tools/bench/src/cassiahold/bench/faults/scheduling.py
@@ -14,7 +14,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from cassiahold.agreement.replica import DeferredReply, Proposal
+from cassiahold.agreement.deferred_replies import DeferredReply
+from cassiahold.agreement.replica import Proposal
 from cassiahold.bench.faults.simulated_worker import (
     RunningAttemptState,
     SimulatedWorker,
