--- a/libs/agreement/src/cassiahold/agreement/replica.py
+++ b/libs/agreement/src/cassiahold/agreement/replica.py
@@ -5,7 +5,6 @@
 committed entries to a ``GroupService`` and replies to callers.
 """
 
-import concurrent.futures
 import functools
 import time
 import typing
@@ -13,22 +12,35 @@
 import msgspec
 import pykka
 
-from cassiahold.agreement.membership_planner import MembershipPlanner
+from cassiahold.agreement.deferred_replies import (
+    DeferredReplies,
+    DeferredReply,
+)
+from cassiahold.agreement.disk_wait import DiskFullObserver, DiskWait
+from cassiahold.agreement.membership_upkeep import MembershipUpkeep
 from cassiahold.agreement.messages import Entry, EntryKind, Envelope, Membership
 from cassiahold.agreement.node import RaftNode, RaftTiming, Ready
+from cassiahold.agreement.pending_replies import (
+    PendingReplies,
+    PendingReply,
+    ReplyFuture,
+)
 from cassiahold.agreement.storage import ReplicaStorage
 from cassiahold.core import logs
 from cassiahold.core.clock import boottime_s
-from cassiahold.core.exceptions import CassiaholdError, ErrorKind
+from cassiahold.core.exceptions import (
+    CassiaholdError,
+    DiskFullError,
+    ErrorKind,
+)
 from cassiahold.core.ids import GroupName, ReplicaId
 
+# Reported instead of the role of a replica that waits for room on its disk.
+DISK_FULL_ROLE: typing.Final = 'disk_full'
 MAX_MESSAGES_PER_FLUSH: typing.Final = 256
-MEMBERSHIP_CHECK_INTERVAL_S: typing.Final = 0.2
 # Longest wait of a proposal, so that several share messages and a disk sync.
 PROPOSAL_INTERVAL_S: typing.Final = 0.01
 
-ReplyFuture = concurrent.futures.Future[typing.Any]
-
 
 class Proposal(msgspec.Struct, frozen=True):
     """A command for the log and the function that makes the caller's reply.
@@ -41,17 +53,6 @@
     make_reply: typing.Callable[[typing.Any], typing.Any]
 
 
-class DeferredReply(msgspec.Struct, frozen=True):
-    """A reply that is made at ``due_at``, to include what happens until then.
-
-    ``due_at`` is a time of ``boottime_s``.  The reply is made earlier when
-    the replica stops leading.
-    """
-
-    due_at: float
-    make_reply: typing.Callable[[], typing.Any]
-
-
 class GroupService(typing.Protocol):
     """The replicated state machine of a group and its request handlers.
 
@@ -173,16 +174,12 @@
     """
 
 
-class _PendingReply(msgspec.Struct, frozen=True):
-    term: int
-    future: ReplyFuture
-    make_reply: typing.Callable[[typing.Any], typing.Any]
-
-
 class Replica(pykka.ThreadingActor):
     """The actor of one replica; its inbox takes the messages above.
 
-    A failure of its disk or its service stops the actor.
+    A failure of its disk or its service stops the actor.  A full disk does
+    not: the replica acts as if it were down until there is room, and then
+    goes on from what its disk holds, as after a restart.
     """
 
     use_daemon_thread = True
@@ -193,6 +190,7 @@
         storage: ReplicaStorage,
         service: GroupService,
         transport: PeerTransport,
+        on_disk_full: DiskFullObserver | None = None,
     ) -> None:
         super().__init__()
         self._setup = setup
@@ -201,30 +199,29 @@
         self._transport = transport
         self._proposals: list[Proposal] = []
         self._proposal_futures: list[ReplyFuture] = []
-        self._pending_reply_by_index: dict[int, _PendingReply] = {}
-        self._deferred_replies: list[tuple[DeferredReply, ReplyFuture]] = []
+        self._pending_replies = PendingReplies()
+        self._deferred_replies = DeferredReplies()
         self._unflushed_messages = 0
         self._is_leading = False
-        self._membership_planner = MembershipPlanner(
-            setup.replica, setup.target_voters
+        self._membership_upkeep = MembershipUpkeep(
+            setup.group, setup.replica, setup.target_voters
         )
-        self._next_membership_check_at = 0.0
         self._next_proposal_at = 0.0
         self._is_proposal_delayed = False
-        recovered = storage.recover(setup.initial_membership)
-        if recovered.log.snapshot.state:
-            service.restore(recovered.log.snapshot.state)
-        self._node = RaftNode(
-            setup.replica,
-            recovered.log,
-            recovered.hard_state,
-            setup.timing,
-            boottime_s(),
-            setup.seed,
+        self._disk_wait = DiskWait(
+            setup.group, setup.replica, storage, on_disk_full
         )
+        self._initial_state = service.snapshot()
+        self._node = self._recover(state_without_snapshot=b'')
 
     def on_receive(self, message: typing.Any) -> None:
         """Process one message; propose and write once the inbox is empty."""
+        try:
+            self._process_message(message)
+        except DiskFullError as exc:
+            self._wait_for_room(exc)
+
+    def _process_message(self, message: typing.Any) -> None:
         _receive(message, self)
         self._unflushed_messages += 1
         is_full = self._unflushed_messages >= MAX_MESSAGES_PER_FLUSH
@@ -247,19 +244,28 @@
             kind=exception_type.__name__ if exception_type else '',
             error=exception_value,
         )
+        self.on_stop()
 
     def on_stop(self) -> None:
-        """Close the storage and fail the calls that wait for a commit."""
+        """Close the storage and answer every caller that waits."""
         self._storage.close()
-        self._fail_pending_replies()
+        self._refuse_queued()
+        self._pending_replies.fail_all()
 
     def handle_tick(self) -> None:
         """Let the protocol check its timeouts."""
-        self._node.tick(boottime_s())
+        now = boottime_s()
+        if self._disk_wait.is_waiting:
+            if self._disk_wait.has_room(now):
+                self._node = self._recover(self._initial_state)
+                self._disk_wait.end(now)
+            return
+        self._node.tick(now)
 
     def handle_envelope(self, envelope: Envelope) -> None:
         """Process a message from another replica."""
-        self._node.step(envelope.message, boottime_s())
+        if not self._disk_wait.is_waiting:
+            self._node.step(envelope.message, boottime_s())
 
     def handle_call(self, call: Call) -> None:
         """Reply to a request, or queue its proposal."""
@@ -307,8 +313,9 @@
         except CassiaholdError as exc:
             change.future.set_exception(exc)
             return
-        self._pending_reply_by_index[index] = _PendingReply(
-            self._node.term, change.future, lambda _: index
+        self._pending_replies.add(
+            index,
+            PendingReply(self._node.term, change.future, lambda _: index),
         )
 
     def handle_join(self, request: JoinGroup) -> None:
@@ -316,7 +323,7 @@
         if not self._may_serve(boottime_s()):
             request.future.set_exception(NotLeaderError(self._node.leader))
             return
-        self._membership_planner.record_join_request(
+        self._membership_upkeep.record_join_request(
             request.replica, boottime_s()
         )
         request.future.set_result(None)
@@ -328,7 +335,9 @@
             ReplicaView(
                 self._setup.group,
                 self._setup.replica,
-                node.role.value,
+                DISK_FULL_ROLE
+                if self._disk_wait.is_waiting
+                else node.role.value,
                 node.term,
                 node.leader,
                 node.commit_index,
@@ -337,6 +346,42 @@
             )
         )
 
+    def _recover(self, state_without_snapshot: bytes) -> RaftNode:
+        """Return a node with the state on the disk; restore the service."""
+        setup = self._setup
+        recovered = self._storage.recover(setup.initial_membership)
+        state = recovered.log.snapshot.state or state_without_snapshot
+        if state:
+            self._service.restore(state)
+        return RaftNode(
+            setup.replica,
+            recovered.log,
+            recovered.hard_state,
+            setup.timing,
+            boottime_s(),
+            setup.seed,
+        )
+
+    def _wait_for_room(self, error: DiskFullError) -> None:
+        """Step down and answer every caller; write nothing until then."""
+        now = boottime_s()
+        self._disk_wait.begin(error, now)
+        self._unflushed_messages = 0
+        self._is_proposal_delayed = False
+        self._node.become_follower(self._node.term, None, now)
+        self._update_leadership()
+        self._deferred_replies.send_due(now, is_leading=self._is_leading)
+        self._refuse_queued()
+        self._pending_replies.refuse_after(
+            self._node.durable_index, NotLeaderError(None)
+        )
+        self._pending_replies.fail_all()
+
+    def _refuse_queued(self) -> None:
+        _refuse(self._proposal_futures, NotLeaderError(None))
+        self._proposals = []
+        self._proposal_futures = []
+
     def _may_serve(self, now: float) -> bool:
         return self._is_leading and self._node.has_valid_lease(now)
 
@@ -347,6 +392,8 @@
             self._flush()
 
     def _flush(self) -> None:
+        if self._disk_wait.is_waiting:
+            return
         now = boottime_s()
         self._is_proposal_delayed = (
             self._is_leading and now < self._next_proposal_at
@@ -360,7 +407,11 @@
             self._process_ready(ready)
             self._node.advance(ready)
             ready = self._node.ready()
-        self._send_deferred_replies()
+        # Entries that a newer leader's log does not have were removed.
+        self._pending_replies.fail_after(self._node.log.last_index)
+        self._deferred_replies.send_due(
+            boottime_s(), is_leading=self._is_leading
+        )
         self._update_leadership()
         if self._needs_snapshot():
             self._take_snapshot()
@@ -369,40 +420,11 @@
         now = boottime_s()
         if not self._may_serve(now):
             return
-        if self._setup.target_voters and now >= self._next_membership_check_at:
-            self._next_membership_check_at = now + MEMBERSHIP_CHECK_INTERVAL_S
-            self._propose_membership_change(now)
+        self._membership_upkeep.propose_if_due(self._node, now)
         commands = self._service.due_commands(now)
         if commands:
             self._node.propose(commands, now)
 
-    def _propose_membership_change(self, now: float) -> None:
-        node = self._node
-        if node.membership_index > node.commit_index:
-            return
-        change = self._membership_planner.next_change(
-            node.membership, node.peer_status_by_id(now), now
-        )
-        if change is None:
-            return
-        try:
-            node.propose_membership(change, now)
-        except CassiaholdError as exc:
-            logs.warning(
-                'membership_refused',
-                group=self._setup.group,
-                membership=change,
-                reason=exc.detail,
-            )
-            return
-        logs.info(
-            'membership_proposed',
-            group=self._setup.group,
-            voters=','.join(change.voters),
-            learners=','.join(change.learners),
-            term=node.term,
-        )
-
     def _propose_queued(self) -> None:
         proposals = self._proposals
         futures = self._proposal_futures
@@ -411,16 +433,18 @@
         if not proposals:
             return
         if not self._node.is_leader:
-            for future in futures:
-                future.set_exception(NotLeaderError(self._node.leader))
+            _refuse(futures, NotLeaderError(self._node.leader))
             return
         last_index = self._node.propose(
             [proposal.payload for proposal in proposals], boottime_s()
         )
         first_index = last_index - len(proposals) + 1
         for offset, proposal in enumerate(proposals):
-            self._pending_reply_by_index[first_index + offset] = _PendingReply(
-                self._node.term, futures[offset], proposal.make_reply
+            self._pending_replies.add(
+                first_index + offset,
+                PendingReply(
+                    self._node.term, futures[offset], proposal.make_reply
+                ),
             )
 
     def _process_ready(self, ready: Ready) -> None:
@@ -428,7 +452,7 @@
             self._service.restore(ready.snapshot.state)
             self._storage.save(ready.hard_state, ())
             self._storage.save_snapshot(self._node.log)
-            self._fail_pending_replies()
+            self._pending_replies.fail_all()
         self._storage.save(
             None if ready.snapshot else ready.hard_state, ready.entries
         )
@@ -451,8 +475,8 @@
         outcome = None
         if entry.kind is EntryKind.COMMAND:
             outcome = self._service.apply(entry.payload)
-        pending = self._pending_reply_by_index.pop(entry.index, None)
-        if pending is None or pending.future.done():
+        pending = self._pending_replies.take(entry.index)
+        if pending is None:
             return
         if pending.term != entry.term:
             # Another leader's entry is committed at this index, so the
@@ -465,7 +489,7 @@
             pending.future.set_exception(exc)
             return
         if isinstance(reply, DeferredReply):
-            self._deferred_replies.append((reply, pending.future))
+            self._deferred_replies.add(reply, pending.future)
         else:
             pending.future.set_result(reply)
 
@@ -487,19 +511,6 @@
         else:
             self._service.stop_leading()
 
-    def _send_deferred_replies(self) -> None:
-        now = boottime_s()
-        deferred_replies = self._deferred_replies
-        self._deferred_replies = []
-        for deferred, future in deferred_replies:
-            if self._is_leading and now < deferred.due_at:
-                self._deferred_replies.append((deferred, future))
-                continue
-            try:
-                future.set_result(deferred.make_reply())
-            except CassiaholdError as exc:
-                future.set_exception(exc)
-
     def _needs_snapshot(self) -> bool:
         # With large commands the log reaches its size limit long before the
         # limit on the number of records.
@@ -514,17 +525,10 @@
             self._node.compact(index, self._service.snapshot())
             self._storage.save_snapshot(self._node.log)
 
-    def _fail_pending_replies(self) -> None:
-        pending_by_index = self._pending_reply_by_index
-        self._pending_reply_by_index = {}
-        for pending in pending_by_index.values():
-            pending.future.set_exception(
-                CassiaholdError(
-                    ErrorKind.OUTCOME_UNKNOWN,
-                    'the replica stopped or installed a snapshot before it '
-                    'applied the command',
-                )
-            )
+
+def _refuse(futures: list[ReplyFuture], error: NotLeaderError) -> None:
+    for future in futures:
+        future.set_exception(error)
 
 
 @functools.singledispatch
--- a/libs/journal/src/cassiahold/journal/files.py
+++ b/libs/journal/src/cassiahold/journal/files.py
@@ -1,10 +1,18 @@
 """File operations of the journal, behind a protocol that tests replace."""
 
+import contextlib
+import errno
 import os
 import pathlib
 import typing
 
 OWNER_ONLY_MODE: typing.Final = 0o600
+_OUT_OF_SPACE_ERRNOS: typing.Final = frozenset((errno.ENOSPC, errno.EDQUOT))
+
+
+def is_out_of_space(exc: OSError) -> bool:
+    """Tell whether a file operation failed for lack of room or quota."""
+    return exc.errno in _OUT_OF_SPACE_ERRNOS
 
 
 class Disk(typing.Protocol):
@@ -56,7 +64,10 @@
         descriptor = self._open(path)
         remaining = memoryview(payload)
         while remaining:
-            remaining = remaining[os.write(descriptor, remaining) :]
+            written = os.write(descriptor, remaining)
+            if not written:
+                raise OSError(errno.ENOSPC, 'no byte was written')
+            remaining = remaining[written:]
 
     def sync(self, path: pathlib.Path) -> None:
         """Write the file's content to the disk before returning."""
@@ -65,10 +76,13 @@
     def replace(self, path: pathlib.Path, payload: bytes) -> None:
         """Create or replace a whole file atomically and sync it."""
         partial_path = path.with_suffix('.partial')
-        with partial_path.open('wb') as stream:
-            stream.write(payload)
-            stream.flush()
-            os.fsync(stream.fileno())
+        try:
+            _write_and_sync(partial_path, payload)
+        except OSError:
+            # It would keep the room that a full disk lacks.
+            with contextlib.suppress(OSError):
+                partial_path.unlink()
+            raise
         partial_path.replace(path)
         self._sync_folder()
 
@@ -102,12 +116,27 @@
             self._descriptor = os.open(path, flags, OWNER_ONLY_MODE)
             self._open_path = path
             if is_new:
-                self._sync_folder()
+                self._sync_new_name(path)
         return self._descriptor
 
+    def _sync_new_name(self, path: pathlib.Path) -> None:
+        try:
+            self._sync_folder()
+        except OSError:
+            # The next use has to create the file and sync its name again.
+            self.remove(path)
+            raise
+
     def _sync_folder(self) -> None:
         descriptor = os.open(self._folder, os.O_RDONLY)
         try:
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
+
+
+def _write_and_sync(path: pathlib.Path, payload: bytes) -> None:
+    with path.open('wb') as stream:
+        stream.write(payload)
+        stream.flush()
+        os.fsync(stream.fileno())
