--- a/tools/bench/tests/test_processes.py
+++ b/tools/bench/tests/test_processes.py
@@ -26,6 +26,8 @@
 EXAMPLE: typing.Final = ROOT / 'examples/bulletin'
 WAIT_TIMEOUT_S: typing.Final = 60.0
 LOCAL_DATA_CENTRE: typing.Final = 'dublin'
+RESERVATION_ADDRESS: typing.Final = ('127.20.0.1', 9463)
+RESERVATION_TIMEOUT_S: typing.Final = 300.0
 
 
 class ConfiguredCell:
@@ -71,11 +73,28 @@
         time.sleep(0.1)
 
 
+@contextlib.contextmanager
+def reserved_addresses() -> typing.Iterator[None]:
+    """Wait until no other run of these tests uses the example's addresses."""
+    deadline = time.monotonic() + RESERVATION_TIMEOUT_S
+    with socket.socket() as reservation:
+        while True:
+            try:
+                reservation.bind(RESERVATION_ADDRESS)
+            except OSError:
+                assert time.monotonic() < deadline, 'another run goes on'
+                time.sleep(0.1)
+            else:
+                break
+        yield
+
+
 @contextlib.contextmanager
 def start_cell(
     prepare: typing.Callable[[pathlib.Path], None] = lambda _: None,
 ) -> typing.Iterator[ConfiguredCell]:
     with contextlib.ExitStack() as stack:
+        stack.enter_context(reserved_addresses())
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         cell = LocalCell(EXAMPLE, pathlib.Path(folder) / 'cell')
         prepare(cell.folder)
