Match the whole path of a request

What callers saw: a path that ends with a line break (%0A) was served as the path without it.

Cause: the pattern ended with $, which also matches before a last line break.

Evidence: test_path_with_a_line_break_at_its_end_does_not_exist failed before.

Why it works: fullmatch leaves nothing over.

--- a/programs/gateway/src/cassiahold/gateway/http.py
+++ b/programs/gateway/src/cassiahold/gateway/http.py
@@ -210,7 +210,7 @@
 
     Its captured groups are passed in the request.
     """
-    return Route(method, re.compile(f'^{pattern}$'), handler)
+    return Route(method, re.compile(pattern), handler)
 
 
 class Application:
@@ -293,7 +293,7 @@
     def _dispatch(self, request: HttpRequest) -> HttpResponse:
         is_known_path = False
         for candidate in self._routes:
-            match = candidate.pattern.match(request.path)
+            match = candidate.pattern.fullmatch(request.path)
             if match is None:
                 continue
             is_known_path = True
--- a/programs/gateway/tests/test_malformed_bodies.py
+++ b/programs/gateway/tests/test_malformed_bodies.py
@@ -9,9 +9,15 @@
 
 from cassiahold.core.exceptions import ErrorKind
 from cassiahold.core.ids import DataCentre, GroupName
+from cassiahold.core.metrics import NullMetrics
 from cassiahold.core.testing import expect_error, function_tests
 from cassiahold.gateway.handlers.reports import ReportHandlers
-from cassiahold.gateway.http import HttpRequest
+from cassiahold.gateway.http import (
+    Application,
+    HttpRequest,
+    HttpResponse,
+    route,
+)
 from cassiahold.wire import messages
 from cassiahold.wire.transport import CallEnvelope
 
@@ -54,6 +60,18 @@
     )
 
 
+def test_path_with_a_line_break_at_its_end_does_not_exist() -> None:
+    statuses: list[str] = []
+    application = Application(
+        [route('PUT', '/v1/config', lambda _: HttpResponse(200, b''))],
+        NullMetrics(),
+    )
+    for path in ('/v1/config', '/v1/config\n', '/v1/config/'):
+        environ = {'REQUEST_METHOD': 'PUT', 'PATH_INFO': path}
+        application(environ, lambda status, _: statuses.append(status[:3]))
+    assert statuses == ['200', '404', '404']
+
+
 def report_handlers() -> ReportHandlers:
     authorizer = mock.Mock()
     groups = mock.Mock()
