--- a/programs/cell/tests/test_request_sender.py
+++ b/programs/cell/tests/test_request_sender.py
@@ -24,6 +24,7 @@
     REPORT_PAUSE_S,
     ThreadedRequestSender,
 )
+from cassiahold.cell.stop_sender import MAX_STOP_TRIES
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import (
@@ -503,6 +504,31 @@
     assert stopped == {attempt_of(job) for job in jobs}
 
 
+def test_stops_under_a_lower_fence_are_withdrawn() -> None:
+    # The worker rejects them; further stops would wait for their last try.
+    reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
+    poll_count = itertools.count()
+
+    def handle(request: typing.Any) -> typing.Any:
+        if isinstance(request, local.StopDone):
+            reports.put(request)
+            return None
+        fence = 1 if next(poll_count) < 3 else 2
+        return PollRequest(WORKER, fence, 0, None, 0.0)
+
+    client = PollAnsweringClient()
+    with contextlib.ExitStack() as stack:
+        sender = ThreadedRequestSender(client, None, 1)
+        stack.callback(sender.close)
+        sender.attach(handle, _UnusedLeaderClient())
+        sender.send_stop(stop_of('resetting', 'first'))
+        sender.start_polling(WORKER, 1)
+        assert reports.get(timeout=TIMEOUT_S).reply is None
+        tried = len(client.tried_at)
+        time.sleep(POLL_TIME_S)
+        assert len(client.tried_at) == tried < MAX_STOP_TRIES
+
+
 def test_stop_is_repeated_after_a_lost_reply() -> None:
     reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
     client = PartlySilentClient()
