--- a/programs/cell/tests/model_leader.py
+++ b/programs/cell/tests/model_leader.py
@@ -273,11 +273,18 @@
         if self._should_try(request, tries):
             self._process.schedule(
                 tries.pause_s(self._simulation.now),
-                lambda: self._try(
-                    request, tries, functools.partial(self._start, request)
-                ),
+                lambda: self._start_after_pause(request, tries),
             )
-            return
+        else:
+            self._finish_start(request, tries)
+
+    def _start_after_pause(self, request: StartRequest, tries: Tries) -> None:
+        if self._should_try(request, tries):
+            self._try(request, tries, functools.partial(self._start, request))
+        else:
+            self._finish_start(request, tries)
+
+    def _finish_start(self, request: StartRequest, tries: Tries) -> None:
         self._pending_starts.remove(request.attempt)
         self._report(
             local.StartDone(
