--- a/programs/cell/tests/test_model_faults.py
+++ b/programs/cell/tests/test_model_faults.py
@@ -141,4 +141,23 @@
         check_all(cell)
 
 
+def test_slow_poll_discards_no_end_of_a_worker_that_has_restarted() -> None:
+    # The poll acknowledges an end of the earlier incarnation; the new one has
+    # run an attempt that was sent under the same fence.
+    faults = NetworkFaults(
+        min_late_s=0.3, max_late_s=0.3, outlives_restart=True
+    )
+    with running_cell(faults) as cell:
+        fates = [Fate.ANSWERED, Fate.LATE]
+        cell.link_by_worker[W].planned_poll_fates = fates
+        cell.submit(JobModel(JobId('first'), 0.05, 0.0, max_attempts=2))
+        cell.simulation.run_for(0.13)
+        cell.crash_worker(W)
+        cell.simulation.run_for(0.1)
+        start_unnoticed(cell, W)
+        submit(cell, work_s=0.05)
+        cell.simulation.run_for(10)
+        check_all(cell)
+
+
 load_tests = function_tests(globals())
