--- a/programs/cell/tests/test_stop_sender.py
+++ b/programs/cell/tests/test_stop_sender.py
@@ -98,7 +98,7 @@
 
 
 def test_tries_of_a_stop_that_is_reset_are_spread_over_time() -> None:
-    # wipe-taken seed 8: eight tries within 50 ms, once a second.
+    # Eight tries within 50 ms, once a second.
     reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
     client = ResettingClient()
     with contextlib.ExitStack() as stack:
--- a/programs/cell/tests/test_unanswered_orders.py
+++ b/programs/cell/tests/test_unanswered_orders.py
@@ -84,7 +84,7 @@
 
 
 def test_start_without_reply_ends_though_no_stop_is_answered() -> None:
-    # wipe-taken seed 8: polls renewed the lease for 19 s, each stop was lost.
+    # Polls renewed the lease for 19 s, each stop was lost.
     leader = make_leader('w')
     polls = AnsweredPolls(leader, 'w')
     submit(leader, '/q/1')
@@ -136,7 +136,7 @@
 
 
 def test_worker_that_does_not_answer_a_start_gets_no_work_for_a_while() -> None:
-    # wipe-taken seed 8: three attempts of one task went to the same worker.
+    # Three attempts of one task went to the same worker.
     leader = make_leader('v', 'w')
     submit(leader, '/q/1')
     first = lose_start(leader).worker.id
