--- a/review/5/tests/case.py
+++ b/review/5/tests/case.py
@@ -20,7 +20,7 @@
 FOLDER = pathlib.Path(__file__).resolve().parents[1]
 JOB = '5c0e7a21d94b36f8'
 MINIONS = 8
-BACK_AFTER_S = 3.0
+BACK_AFTER_S = 9.0
 CRASHES = 3
 MORE_STARTS = 3
 OBSERVED_S = 80.0
@@ -31,26 +31,20 @@
     with Cell(record_path) as cell:
         numbers = itertools.count(1)
 
-        def new_minion() -> None:
-            # Each life has an id and an address of its own.
-            number = next(numbers)
-            Minion(
-                cell,
-                f'i-{number:04}',
-                f'127.{cell.network}.3.{number}:8080',
-                on_start=on_start,
-            )
+        def new_minion(address: str) -> None:
+            # Each life has an id of its own.
+            Minion(cell, f'i-{next(numbers):04}', address, on_start=on_start)
 
         def on_start(minion: Minion, task: str) -> None:
             starts.append(task)
             if not has_trouble():
                 return
             minion.crash()
-            threading.Timer(BACK_AFTER_S, new_minion).start()
+            threading.Timer(BACK_AFTER_S, new_minion, (minion.address,)).start()
 
         cell.start()
-        for _ in range(MINIONS):
-            new_minion()
+        for number in range(1, MINIONS + 1):
+            new_minion(f'127.{cell.network}.3.{number}:8080')
         cell.configure(configuration())
         cell.wait_ready()
         time.sleep(3)
