Remove a worker that deregistered early only if its process has ended

A worker that drains is cut off while it deregisters: its call arrives, the acknowledgement doesn't, so it runs on; its task was started elsewhere 0.5 to 1.1 s later.

Cause: a deregistration and a failed poll, or 1.5 s of silence, counted as the end of the process. A worker ends when its deregistration is acknowledged, and silence looks the same from one that has ended and one that is cut off.

Change: polls report why they got no reply (PollFailure).

Tests replaced: two in test_departures.py took a silent worker for gone after 1.5 s or 0.6 s. They now ask for the proof at once and for the leases without it. test_late_ends.py removes its worker by a refused poll instead.

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -21,6 +21,7 @@
     weigh_crash,
 )
 from cassiahold.workflows.model import AttemptKey, AttemptOutcome, WorkerInfo
+from cassiahold.workflows.poll_failures import PollFailure, ProcessEvidence
 
 MAX_CLOCK_DRIFT: typing.Final = 0.02  # a worker's clock runs at most 2% slow
 LEASE_MARGIN_S: typing.Final = 0.3  # added to the computed end of a lease
@@ -120,6 +121,7 @@
         self._is_clock_known = False
         self._paused_until = now
         self.is_failing = False
+        self.process_evidence = ProcessEvidence()
         self._has_unexpected_attempts = False
         self._alive_at = -math.inf
         self._start_by_attempt: dict[AttemptKey, _StartState] = {}
@@ -264,12 +266,15 @@
         is_listed = self._first_listed_end <= self.last_stored_end
         return self.last_stored_end if is_listed else 0
 
-    def record_poll_failed(self) -> None:
+    def record_poll_failed(
+        self, failure: PollFailure = PollFailure.NO_REPLY
+    ) -> None:
         """Record that a poll got no reply: the worker may have restarted.
 
         The worker gets no new work until it replies to a poll.
         """
         self.record_unreachable()
+        self.process_evidence.record_failure(failure)
         self._acknowledge_until = 0.0
 
     def record_unreachable(self) -> None:
@@ -322,6 +327,7 @@
         self.last_reply_at = now
         self._alive_at = now
         self.is_failing = False
+        self.process_evidence.record_alive()
         self._acknowledge_until = now + ACKNOWLEDGEMENT_WINDOW_S
         self._first_listed_end = min(
             (row.end_number for row in reply.ended), default=math.inf
--- a/programs/cell/src/cassiahold/cell/worker_ends.py
+++ b/programs/cell/src/cassiahold/cell/worker_ends.py
@@ -3,14 +3,11 @@
 import time
 import typing
 
-import msgspec
-
 from cassiahold.agreement.replica import Proposal
 from cassiahold.cell import local_requests as local
 from cassiahold.cell import requests
 from cassiahold.cell.attempt_ends import AttemptEnds
 from cassiahold.cell.session_table import SessionTable
-from cassiahold.cell.settings import POLL_MAX_WAIT_S, POLL_TIMEOUT_SLACK_S
 from cassiahold.core import logs
 from cassiahold.core.ids import WorkerId
 from cassiahold.workflows import commands
@@ -18,26 +15,22 @@
 from cassiahold.workflows.sessions import WorkerSession
 from cassiahold.workflows.state import WorkflowState
 
-# A worker that deregistered has ended if a poll fails after this time.
+# Time for a worker that deregistered to end its process.
 DEREGISTRATION_DELAY_S: typing.Final = 0.5
-# It has ended, too, if no poll has been replied to for so long.
-DEPARTURE_TIMEOUT_S: typing.Final = POLL_MAX_WAIT_S + POLL_TIMEOUT_SLACK_S
 # A worker that still replies after this time has not left.
 MAX_DEPARTURE_S: typing.Final = 10.0
 
 
-class _Departure(msgspec.Struct):
-    """When a worker deregistered and when it last replied after that."""
-
-    told_at: float
-    replied_at: float
-
-
 class WorkerEnds:
     """Tells why incarnations of workers end, and removes workers.
 
     A worker is removed when it has left, when another process has its
     address, or when all of its leases have expired.
+
+    A deregistration alone does not prove that a worker has left: without an
+    acknowledgement it runs on for a while, and if it is then cut off, its
+    silence says nothing.  It has left if its connections also show that its
+    process has ended.
     """
 
     def __init__(
@@ -49,7 +42,8 @@
         self._state = state
         self._sessions = sessions
         self._attempt_ends = attempt_ends
-        self._departure_by_worker: dict[WorkerId, _Departure] = {}
+        # When workers deregistered that are not known to run on.
+        self._departed_at_by_worker: dict[WorkerId, float] = {}
         # Workers whose address another process has.
         self._replaced_workers: set[WorkerId] = set()
         # Departures that may be those of an earlier incarnation.
@@ -60,7 +54,7 @@
     def is_deregistered(self, worker: WorkerId) -> bool:
         """Tell whether a worker will be removed soon."""
         return (
-            worker in self._departure_by_worker
+            worker in self._departed_at_by_worker
             or worker in self._replaced_workers
         )
 
@@ -96,7 +90,7 @@
     ) -> requests.Acknowledged | Proposal:
         """Remove an incarnation soon and store that it has not crashed."""
         if session is not None and session.info.incarnation == incarnation:
-            self._departure_by_worker.setdefault(worker, _Departure(now, now))
+            self._departed_at_by_worker.setdefault(worker, now)
             logs.info('worker_left', worker=worker, born=incarnation)
         if not self._is_departure_new(worker, incarnation):
             return requests.Acknowledged()
@@ -137,14 +131,10 @@
         One that does not end gets work again.
         """
         self._forget_late_departure(request)
-        departure = self._departure_by_worker.get(request.worker)
-        if departure is None or request.sent_at <= departure.told_at:
-            return
-        if now >= departure.told_at + MAX_DEPARTURE_S:
+        departed_at = self._departed_at_by_worker.get(request.worker)
+        if departed_at is not None and now >= departed_at + MAX_DEPARTURE_S:
             logs.info('worker_has_not_left', worker=request.worker)
-            self._departure_by_worker.pop(request.worker)
-        else:
-            departure.replied_at = now
+            self._departed_at_by_worker.pop(request.worker)
 
     def record_next_incarnation(self, session: WorkerSession) -> None:
         """Record why the incarnation of a session ended: another follows."""
@@ -157,7 +147,7 @@
 
     def forget(self, worker: WorkerId) -> None:
         """Forget what is known of the earlier incarnations of a worker."""
-        self._departure_by_worker.pop(worker, None)
+        self._departed_at_by_worker.pop(worker, None)
         self._replaced_workers.discard(worker)
         self._unconfirmed_departure_at_by_worker.pop(worker, None)
         self._crashed_workers.discard(worker)
@@ -179,12 +169,11 @@
     def _has_left(self, session: WorkerSession, now: float) -> bool:
         if session.info.id in self._replaced_workers:
             return True
-        departure = self._departure_by_worker.get(session.info.id)
-        if departure is None:
-            return False
-        elapsed_s = now - departure.replied_at
-        return elapsed_s >= DEPARTURE_TIMEOUT_S or (
-            session.is_failing and elapsed_s >= DEREGISTRATION_DELAY_S
+        departed_at = self._departed_at_by_worker.get(session.info.id)
+        return (
+            departed_at is not None
+            and session.process_evidence.has_ended
+            and now >= departed_at + DEREGISTRATION_DELAY_S
         )
 
     def _remove(
@@ -197,6 +186,8 @@
             worker=worker,
             born=session.info.incarnation,
             has_left=has_left,
+            has_deregistered=worker in self._departed_at_by_worker,
+            attempts=self._attempt_count(worker),
             silent_s=now - (session.last_reply_at or now),
         )
         if worker in self._crashed_workers:
@@ -217,6 +208,10 @@
             ),
         ]
 
+    def _attempt_count(self, worker: WorkerId) -> int:
+        record = self._state.worker_by_id.get(worker)
+        return 0 if record is None else len(record.resources_by_attempt)
+
     def _has_departed(self, session: WorkerSession) -> bool:
         record = self._state.worker_by_id.get(session.info.id)
         return record is not None and record.has_departed(
--- a/programs/cell/tests/leader_fixtures.py
+++ b/programs/cell/tests/leader_fixtures.py
@@ -37,6 +37,7 @@
     WorkflowSpec,
 )
 from cassiahold.workflows.plans import AdvisorQuery
+from cassiahold.workflows.poll_failures import PollFailure
 from cassiahold.workflows.sessions import (
     EndedAttempt,
     PollReply,
@@ -130,10 +131,14 @@
         fence = self.sender.fence_by_worker[worker]
         return self.handle(local.PollDone(worker, fence, reply, boottime_s()))
 
-    def fail_poll(self, name: str) -> None:
+    def fail_poll(
+        self, name: str, failure: PollFailure = PollFailure.NO_REPLY
+    ) -> None:
         worker = WorkerId(name)
         fence = self.sender.fence_by_worker[worker]
-        self.handle(local.PollDone(worker, fence, None, boottime_s()))
+        self.handle(
+            local.PollDone(worker, fence, None, boottime_s(), failure=failure)
+        )
 
     def reply_to_poll_at(
         self,
--- a/programs/cell/tests/model_network.py
+++ b/programs/cell/tests/model_network.py
@@ -8,6 +8,7 @@
 from model_worker import Incarnation
 
 from cassiahold.cell.clients import (
+    ClosedByWorkerError,
     PollRequest,
     StartRequest,
     StopRequest,
@@ -125,11 +126,10 @@
             self._fail_after(CONNECT_TIMEOUT_S, ErrorKind.UNREACHABLE)
             return
         if self._link.incarnation is None:
-            silent = self._simulation.chance(0.2)
-            self._fail_after(
-                CONNECT_TIMEOUT_S if silent else REFUSAL_S,
-                ErrorKind.UNREACHABLE,
-            )
+            if self._simulation.chance(0.2):
+                self._fail_after(CONNECT_TIMEOUT_S, ErrorKind.UNREACHABLE)
+            else:
+                self._refuse_connection()
             return
         self._fail_after(timeout_s, ErrorKind.OUTCOME_UNKNOWN)
         if fate is not Fate.ANSWERED:
@@ -182,8 +182,14 @@
             if is_answered:
                 self._finish(_raising(exc))
 
+    def _refuse_connection(self) -> None:
+        refused = ClosedByWorkerError(ErrorKind.UNREACHABLE, 'refused')
+        self._raise_after(REFUSAL_S, refused)
+
     def _fail_after(self, delay_s: float, kind: ErrorKind) -> None:
-        error = CassiaholdError(kind, 'no reply')
+        self._raise_after(delay_s, CassiaholdError(kind, 'no reply'))
+
+    def _raise_after(self, delay_s: float, error: CassiaholdError) -> None:
         self._simulation.schedule(
             delay_s, lambda: self._finish(_raising(error))
         )
--- a/programs/cell/tests/test_departures.py
+++ b/programs/cell/tests/test_departures.py
@@ -4,6 +4,7 @@
 
 import msgspec
 from leader_fixtures import (
+    LEASE_S,
     SPEC,
     LeaderFixture,
     confirm,
@@ -18,11 +19,11 @@
 from cassiahold.cell import local_requests as local
 from cassiahold.cell import requests
 from cassiahold.cell.clients import ReplyStatus, StartRequest, WorkerReply
-from cassiahold.cell.settings import POLL_MAX_WAIT_S
 from cassiahold.core.clock import boottime_s
 from cassiahold.core.ids import WorkerId
 from cassiahold.core.testing import function_tests
 from cassiahold.workflows.crashes import CrashEvidence
+from cassiahold.workflows.poll_failures import PollFailure
 from cassiahold.workflows.sessions import PollReply, RunningAttempt
 
 W = WorkerId('w')
@@ -145,7 +146,7 @@
     leader = make_leader('w')
     leader.send_heartbeat('w', sequence=2, is_draining=True)
     leader.handle(requests.WorkerLeft(W, 0))
-    leader.fail_poll('w')
+    leader.fail_poll('w', PollFailure.REFUSED)
     leader.apply_due_commands(boottime_s() + 1)
     assert W not in leader.service.state.worker_by_id
 
@@ -161,22 +162,87 @@
         leader.reply_to_poll_at('w', left_at + elapsed_s, 1, (running,))
         leader.apply_due_commands(left_at + elapsed_s + 0.3)
     assert W in leader.service.state.worker_by_id
-    leader.fail_poll('w')
+    leader.fail_poll('w', PollFailure.REFUSED)
     leader.apply_due_commands(left_at + 1.5)
     assert W not in leader.service.state.worker_by_id
 
 
-def test_worker_that_left_is_not_removed_while_a_poll_is_open() -> None:
+def test_silent_worker_that_left_keeps_its_attempts_under_its_leases() -> None:
+    # It was cut off before the acknowledgement of its deregistration arrived,
+    # so it runs on.
     leader = make_leader('w')
     start_on_worker(leader)
     left_at = boottime_s()
     leader.handle(requests.WorkerLeft(W, 1))
-    leader.apply_due_commands(left_at + POLL_MAX_WAIT_S)
-    assert W in leader.service.state.worker_by_id
-    leader.apply_due_commands(left_at + 2)
+    for elapsed_s in (1, 2, 4, LEASE_S - 2):
+        leader.fail_poll('w')
+        leader.apply_due_commands(left_at + elapsed_s)
+        assert W in leader.service.state.worker_by_id
+    leader.apply_due_commands(left_at + LEASE_S)
     assert W not in leader.service.state.worker_by_id
 
 
+def test_worker_that_left_and_has_ended_is_removed_at_once() -> None:
+    # Its deregistration may arrive after the end of its connection.
+    for failures in (
+        (PollFailure.REFUSED,),
+        (PollFailure.CLOSED, PollFailure.UNREACHABLE),
+        (PollFailure.CLOSED, PollFailure.UNREACHABLE, PollFailure.UNREACHABLE),
+    ):
+        for failures_before in range(len(failures) + 1):
+            leader = make_leader('w')
+            start_on_worker(leader)
+            left_at = boottime_s()
+            for failure in failures[:failures_before]:
+                leader.fail_poll('w', failure)
+            leader.handle(requests.WorkerLeft(W, 1))
+            for failure in failures[failures_before:]:
+                leader.fail_poll('w', failure)
+            leader.apply_due_commands(left_at + 0.7)
+            assert W not in leader.service.state.worker_by_id
+
+
+def test_worker_that_left_is_kept_without_proof_that_it_has_ended() -> None:
+    for failures in (
+        # It closed a connection and accepted another.
+        (PollFailure.CLOSED,),
+        (PollFailure.CLOSED, PollFailure.NO_REPLY, PollFailure.UNREACHABLE),
+        (PollFailure.REFUSED, PollFailure.NO_REPLY),
+        # It is cut off.
+        (PollFailure.NO_REPLY, PollFailure.UNREACHABLE),
+    ):
+        leader = make_leader('w')
+        start_on_worker(leader)
+        leader.handle(requests.WorkerLeft(W, 1))
+        for failure in failures:
+            leader.fail_poll('w', failure)
+        leader.apply_due_commands(boottime_s() + 3)
+        assert W in leader.service.state.worker_by_id
+
+
+def test_worker_that_replies_after_it_closed_a_connection_has_not_left() -> (
+    None
+):
+    leader = make_leader('w')
+    start = start_on_worker(leader)
+    leader.fail_poll('w', PollFailure.CLOSED)
+    running = RunningAttempt(start.attempt, '', 5)
+    leader.reply_to_poll('w', running=(running,))
+    leader.handle(requests.WorkerLeft(W, 1))
+    leader.fail_poll('w', PollFailure.UNREACHABLE)
+    leader.apply_due_commands(boottime_s() + 3)
+    assert W in leader.service.state.worker_by_id
+
+
+def test_ended_process_alone_removes_no_worker() -> None:
+    # Without a deregistration its heartbeats tell whether it is back.
+    leader = make_leader('w')
+    start_on_worker(leader)
+    leader.fail_poll('w', PollFailure.REFUSED)
+    leader.apply_due_commands(boottime_s() + 3)
+    assert W in leader.service.state.worker_by_id
+
+
 def test_reply_does_not_delay_the_removal_of_a_replaced_worker() -> None:
     leader = make_leader('w')
     submit(leader, '/q/1')
--- a/programs/cell/tests/test_late_ends.py
+++ b/programs/cell/tests/test_late_ends.py
@@ -26,6 +26,7 @@
     JobState,
     TaskKey,
 )
+from cassiahold.workflows.poll_failures import PollFailure
 from cassiahold.workflows.sessions import (
     EndedAttempt,
     PollReply,
@@ -41,7 +42,7 @@
     (start,) = leader.sender.starts
     confirm(leader, start)
     leader.handle(requests.WorkerLeft(W, 1))
-    leader.fail_poll('w')
+    leader.fail_poll('w', PollFailure.REFUSED)
     leader.apply_due_commands(boottime_s() + 0.6)
     assert W not in leader.service.state.worker_by_id
     return start
--- a/programs/cell/tests/test_sender_reports.py
+++ b/programs/cell/tests/test_sender_reports.py
@@ -17,6 +17,7 @@
 from cassiahold.agreement.replica import LeaseLapsedError
 from cassiahold.cell import local_requests as local
 from cassiahold.cell.clients import (
+    ClosedByWorkerError,
     PollRequest,
     StartRequest,
     StopRequest,
@@ -24,6 +25,7 @@
 from cassiahold.cell.request_sender import (
     ThreadedRequestSender,
 )
+from cassiahold.core.exceptions import ErrorKind
 from cassiahold.core.ids import (
     JobId,
     QueueName,
@@ -33,6 +35,7 @@
 from cassiahold.workflows.configuration import QueuePolicy
 from cassiahold.workflows.model import StepKey
 from cassiahold.workflows.plans import AdvisorQuery
+from cassiahold.workflows.poll_failures import PollFailure
 
 
 class LapsedLeader:
@@ -73,6 +76,33 @@
             return None
 
 
+class RefusedClient(ReplyingClient):
+    """A client of workers whose processes have ended."""
+
+    def poll(self, request: PollRequest, timeout_s: float) -> typing.NoReturn:
+        raise ClosedByWorkerError(ErrorKind.UNREACHABLE, 'refused')
+
+
+def test_failed_poll_tells_that_the_worker_refused_the_connection() -> None:
+    reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
+
+    def handle(request: typing.Any) -> typing.Any:
+        if isinstance(request, local.GetFirstPoll):
+            return PollRequest(WORKER, request.fence, 0, None, 0.0)
+        reports.put(request)
+        return local.SessionClosed()
+
+    client = RefusedClient()
+    with contextlib.ExitStack() as stack:
+        sender = ThreadedRequestSender(client, client, 1)
+        stack.callback(sender.close)
+        sender.attach(handle, UnusedLeaderClient())
+        sender.start_polling(WORKER, 1)
+        report = reports.get(timeout=REPEATED_REPORT_S)
+    assert report.reply is None
+    assert report.failure is PollFailure.REFUSED
+
+
 def test_polls_go_on_after_the_lease_has_lapsed_for_a_moment() -> None:
     report = report_to_lapsed_leader(
         lambda sender: sender.start_polling(WORKER, 1)
