Count a failed run of a gang once, however many members failed in it

Cause: each member that ended as failed added one to the failures of the gang; members that fail within milliseconds of each other all end as failed, not as broken. The limit is on runs.

Change: the step keeps the numbers of its failed runs; a run counts once, also when a member that was given up as lost tells of its failure later. The field is last in the stored form and has a default.

--- a/libs/workflows/src/cassiahold/workflows/attempt_results.py
+++ b/libs/workflows/src/cassiahold/workflows/attempt_results.py
@@ -1,5 +1,7 @@
 """Updates of job and worker records after an attempt has ended."""
 
+import typing
+
 from cassiahold.workflows.commands import AttemptResult, FailureReason
 from cassiahold.workflows.configuration import QueuePolicy
 from cassiahold.workflows.crashes import (
@@ -19,6 +21,9 @@
 )
 from cassiahold.workflows.steps import startable_tasks, step_keys
 
+# Of a step; members of a gang that fail in the same run do so close together.
+MAX_REMEMBERED_GANG_FAILURES: typing.Final = 32
+
 
 def update_speed(
     record: JobRecord, result: AttemptResult, worker: WorkerRecord
@@ -101,7 +106,8 @@
         )
     if result.outcome is AttemptOutcome.FAILED and not spec.is_long_running:
         task.failures += 1
-        step.gang_failures += int(spec.is_gang)
+        if spec.is_gang:
+            _count_gang_failure(step, result.attempt.attempt_number)
     if _is_task_exhausted(record, key, result.attempt.task.task_index, queue):
         return FailureReason.ATTEMPTS
     return None
@@ -144,6 +150,18 @@
     )
 
 
+def _count_gang_failure(step: StepRecord, attempt_number: int) -> None:
+    """Count a failed run of a gang once, however many members failed in it.
+
+    The members may tell of it in any order, also after later runs.
+    """
+    if attempt_number in step.failed_gang_attempt_numbers:
+        return
+    step.gang_failures += 1
+    numbers = [*step.failed_gang_attempt_numbers, attempt_number]
+    step.failed_gang_attempt_numbers = numbers[-MAX_REMEMBERED_GANG_FAILURES:]
+
+
 def _has_proven_run(spec: StepSpec, result: AttemptResult) -> bool:
     """Tell whether an attempt ran too long to have crashed its worker."""
     return spec.is_long_running and result.longest_known_run_s >= PROVEN_RUN_S
--- a/libs/workflows/src/cassiahold/workflows/model.py
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -168,15 +168,17 @@
     """State of a step.
 
     ``remaining_tasks`` counts the tasks that are not done,
-    ``gang_failures`` the failed attempts of all members of a gang,
-    ``only_recent_crashes`` the attempts that ended in crashes shortly before
-    which no other job may have had a start.
+    ``gang_failures`` the failed runs of a gang, in which one or more members
+    failed, ``only_recent_crashes`` the attempts that ended in crashes shortly
+    before which no other job may have had a start.
+    ``failed_gang_attempt_numbers`` are the newest failed runs of a gang.
     """
 
     tasks: list[TaskRecord]
     remaining_tasks: int
     gang_failures: int = 0
     only_recent_crashes: int = 0
+    failed_gang_attempt_numbers: list[int] = msgspec.field(default_factory=list)
 
     @property
     def is_doubted(self) -> bool:
--- a/libs/workflows/tests/test_state.py
+++ b/libs/workflows/tests/test_state.py
@@ -1,5 +1,6 @@
 """Tests of the replicated state: jobs, workers and configuration."""
 
+import msgspec
 from state_fixtures import (
     BIG,
     CORES,
@@ -14,7 +15,12 @@
 from cassiahold.core.ids import WorkerId
 from cassiahold.core.testing import function_tests
 from cassiahold.workflows import commands
-from cassiahold.workflows.model import AttemptOutcome, JobState
+from cassiahold.workflows.model import (
+    AttemptKey,
+    AttemptOutcome,
+    JobState,
+    StepRecord,
+)
 from cassiahold.workflows.state import WorkflowState
 
 
@@ -95,6 +101,66 @@
     assert cell.job('j').is_open
 
 
+def start_gang(cell: StateFixture, attempt_number: int) -> list[AttemptKey]:
+    members = [attempt_key('j', 0, index, attempt_number) for index in (0, 1)]
+    assert cell.start(*((member, 'w') for member in members)) == 2
+    return members
+
+
+def test_members_that_fail_in_one_run_are_one_failure_of_the_gang() -> None:
+    # Each member counted, so a gang of two was given up after one run.
+    cell = StateFixture('w')
+    cell.submit('j', step_spec(2, is_gang=True))
+    for attempt_number in (1, 2):
+        assert cell.job('j').is_open
+        for member in start_gang(cell, attempt_number):
+            cell.end(member, 'w', AttemptOutcome.FAILED)
+    assert cell.job('j').state is JobState.FAILED
+
+
+def test_runs_in_which_different_members_fail_count_against_the_gang() -> None:
+    cell = StateFixture('w')
+    cell.submit('j', step_spec(2, is_gang=True))
+    first, second = start_gang(cell, 1)
+    cell.end(first, 'w', AttemptOutcome.FAILED)
+    cell.end(second, 'w', AttemptOutcome.GANG_MEMBER_ENDED)
+    assert cell.job('j').is_open
+    first, second = start_gang(cell, 2)
+    cell.end(second, 'w', AttemptOutcome.FAILED)
+    assert cell.job('j').state is JobState.FAILED
+
+
+def test_late_failure_of_a_member_is_part_of_the_run_that_failed() -> None:
+    # The member was given up as lost; its run has been counted, a later run
+    # has started, and the state was restored in between.
+    cell = StateFixture('w')
+    cell.submit('j', step_spec(2, is_gang=True))
+    first, second = start_gang(cell, 1)
+    cell.end(first, 'w', AttemptOutcome.FAILED)
+    cell.end(second, 'w', AttemptOutcome.LOST)
+    cell.state.restore(cell.state.snapshot())
+    start_gang(cell, 2)
+    cell.apply(
+        commands.EndAttempts(
+            [],
+            5.0,
+            late_results=(
+                commands.AttemptResult(
+                    second, WorkerId('w'), AttemptOutcome.FAILED
+                ),
+            ),
+        )
+    )
+    assert cell.job('j').is_open
+
+
+def test_snapshot_without_the_failed_runs_of_gangs_is_read() -> None:
+    # Of release 0.7: the fields of a step up to ``only_recent_crashes``.
+    step = msgspec.convert([[], 0, 1, 0], StepRecord)
+    assert step.gang_failures == 1
+    assert not step.failed_gang_attempt_numbers
+
+
 def test_gang_is_done_when_one_member_is_done() -> None:
     cell = StateFixture('w')
     cell.submit('j', step_spec(2, is_gang=True))
