Answer every request that a stopping process has taken

Cause: the shutdown gave requests in progress 1 s after 0.7 of grace_s, while each may wait 1.5 s for a leader, or most of its caller's deadline once its outcome is unknown. It cut them off whenever the election took longer.

One that comes with less than 0.1 s left is refused at once.

--- a/programs/cell/src/cassiahold/cell/leader_client.py
+++ b/programs/cell/src/cassiahold/cell/leader_client.py
@@ -1,6 +1,7 @@
 """Client that sends requests to the group's leader from any process."""
 
 import contextlib
+import math
 import threading
 import typing
 
@@ -11,7 +12,7 @@
 from cassiahold.cell.settings import GROUP
 from cassiahold.core import logs
 from cassiahold.core.clock import boottime_s
-from cassiahold.core.exceptions import CassiaholdError, ErrorKind
+from cassiahold.core.exceptions import CassiaholdError, ErrorKind, RetryHint
 from cassiahold.core.loops import run_step
 from cassiahold.wire.messages import Refusal
 from cassiahold.wire.security import TransportSecurity
@@ -19,6 +20,8 @@
 
 CALL_TIMEOUT_S: typing.Final = 0.7
 MIN_CALL_TIMEOUT_S: typing.Final = 0.005
+# A try that the end of this process cuts shorter would leave its outcome open.
+MIN_FINISH_S: typing.Final = 0.1
 RETRY_PAUSE_S: typing.Final = 0.03
 LOCATE_TIMEOUT_S: typing.Final = 0.4
 LOCATE_INTERVAL_S: typing.Final = 1.0
@@ -36,6 +39,8 @@
     deadline_at: float
     # Later deadline once a try may have been carried out.
     resolve_at: float
+    # When this process ends; it may become known during the request.
+    finish_at: typing.Callable[[], float]
     unknown_outcome: CassiaholdError | None = None
     # Refusal of a busy process that is not known to be the leader.
     overload: CassiaholdError | None = None
@@ -45,7 +50,7 @@
         """Return how long the request may still be tried."""
         has_unknown_outcome = self.unknown_outcome is not None
         until = self.resolve_at if has_unknown_outcome else self.deadline_at
-        return until - boottime_s()
+        return min(until, self.finish_at()) - boottime_s()
 
 
 class LeaderClient:
@@ -72,6 +77,8 @@
         self._created_at = boottime_s()
         self._leader_replied_at = -1.0
         self._is_leader_reachable = True
+        # No request is tried after this time.
+        self._finish_at = math.inf
         self._stack = contextlib.ExitStack()
         self._stopped = threading.Event()
 
@@ -86,6 +93,14 @@
         self._stopped.set()
         self._stack.close()
 
+    def finish_by(self, finish_at: float) -> None:
+        """Try no request after a time, as this process is going to end.
+
+        Also holds for requests that are in progress: each gets its reply or
+        its error by then.  ``finish_at`` is a boot time in seconds.
+        """
+        self._finish_at = finish_at
+
     def leader_silence_s(self) -> float:
         """Return the seconds since a leader last replied."""
         return boottime_s() - self._leader_replied_at
@@ -107,18 +122,17 @@
         yes nor no is of little use to a caller.
 
         Raises ``DEADLINE_TOO_SHORT`` when the time is too short for any try,
+        ``LEAVING`` when this process ends too soon for one,
         ``OUTCOME_UNKNOWN`` when a leader may have carried it out in
         one of the tries; otherwise an error of the kind with which the leader
         refused, or ``NO_QUORUM`` when no leader has received the request.
         """
-        if timeout_s < MIN_CALL_TIMEOUT_S:
-            raise CassiaholdError(
-                ErrorKind.DEADLINE_TOO_SHORT,
-                f'{timeout_s:.3f} s are too short to reach the leader',
-            )
         now = boottime_s()
+        self._check_time(timeout_s, now)
         retry_state = _RetryState(
-            now + timeout_s, now + max(timeout_s, resolve_timeout_s)
+            now + timeout_s,
+            now + max(timeout_s, resolve_timeout_s),
+            lambda: self._finish_at,
         )
         while True:
             reply = self._try_candidates(request, retry_state)
@@ -134,6 +148,21 @@
             raise retry_state.unknown_outcome
         raise CassiaholdError(ErrorKind.NO_QUORUM, retry_state.last_reason)
 
+    def _check_time(self, timeout_s: float, now: float) -> None:
+        """Raise an error at once if no try can be in time."""
+        if timeout_s < MIN_CALL_TIMEOUT_S:
+            raise CassiaholdError(
+                ErrorKind.DEADLINE_TOO_SHORT,
+                f'{timeout_s:.3f} s are too short to reach the leader',
+            )
+        if now + MIN_FINISH_S > self._finish_at:
+            # Another host can serve the request at once.
+            raise CassiaholdError(
+                ErrorKind.LEAVING,
+                'this process is shutting down',
+                RetryHint(earliest_s=0.0),
+            )
+
     def _try_candidates(
         self, request: typing.Any, retry_state: '_RetryState'
     ) -> typing.Any:
--- a/programs/cell/src/cassiahold/cell/node.py
+++ b/programs/cell/src/cassiahold/cell/node.py
@@ -134,6 +134,10 @@
         self._stopped.set()
         self._stack.close()
 
+    def finish_by(self, finish_at: float) -> None:
+        """End every request to the leader by a boot time in seconds."""
+        self.leader_client.finish_by(finish_at)
+
     def call_leader(
         self,
         request: typing.Any,
--- a/programs/cell/tests/test_leader_client.py
+++ b/programs/cell/tests/test_leader_client.py
@@ -5,7 +5,8 @@
 
 from cassiahold.cell import requests
 from cassiahold.cell.discovery import ReplicaDirectory
-from cassiahold.cell.leader_client import LeaderClient
+from cassiahold.cell.leader_client import MIN_FINISH_S, LeaderClient
+from cassiahold.core.clock import boottime_s
 from cassiahold.core.conf.settings import TlsSettings
 from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import ReplicaId
@@ -17,6 +18,7 @@
 OVERLOADED = CassiaholdError(ErrorKind.OVERLOADED, 'too many calls')
 REQUEST = requests.GetWork('host', '/queue/1', 'key')
 TIMEOUT_S = 5.0
+FINISH_S = 0.2
 
 
 class ScriptedLeaderClient(LeaderClient):
@@ -109,6 +111,43 @@
     assert client.call_leader(REQUEST, TIMEOUT_S) == 'reply'
 
 
+class StoppedLeaderClient(ScriptedLeaderClient):
+    """A client whose process is told to stop during the first try."""
+
+    def call(self, *arguments: typing.Any) -> typing.Any:
+        if not self._outcomes:
+            raise NO_LEADER
+        self.finish_by(boottime_s() + FINISH_S)
+        return super().call(*arguments)
+
+
+def test_requests_in_progress_end_before_the_process() -> None:
+    # A host that was stopped ended while they still waited for a leader.
+    for outcomes, kind in (
+        ((LOST_REPLY,), ErrorKind.OUTCOME_UNKNOWN),
+        ((NO_LEADER,), ErrorKind.NO_QUORUM),
+    ):
+        client = StoppedLeaderClient(*outcomes)
+        started_at = boottime_s()
+        expect_error(
+            kind,
+            lambda client=client: client.call_leader(
+                REQUEST, TIMEOUT_S, 2 * TIMEOUT_S
+            ),
+        )
+        assert boottime_s() < started_at + TIMEOUT_S / 2
+
+
+def test_request_is_refused_at_once_when_the_process_ends_too_soon() -> None:
+    client = ScriptedLeaderClient('reply')
+    client.finish_by(boottime_s() + MIN_FINISH_S / 2)
+    expect_error(
+        ErrorKind.LEAVING, lambda: client.call_leader(REQUEST, TIMEOUT_S)
+    )
+    client.finish_by(boottime_s() + TIMEOUT_S)
+    assert client.call_leader(REQUEST, TIMEOUT_S) == 'reply'
+
+
 class SilentReplica(LeaderClient):
     """A client whose only replica never replies."""
 
