--- a/libs/workflows/tests/test_suspect_waits.py
+++ b/libs/workflows/tests/test_suspect_waits.py
@@ -51,6 +51,22 @@
     return limit_s
 
 
+def test_doubted_step_does_not_wait_for_seconds_for_workers_that_are_gone() -> (
+    None
+):
+    # Its few trials hold their places until all leases of the silent workers
+    # have expired, while the other tasks of the job wait in an idle cell.
+    cell = StateFixture('crashed', 'gone', 'lost', 'v', 'w')
+    cell.submit('j', step_spec(9, resources=SMALL))
+    crash(cell, 'j', 0)
+    for task, worker in ((0, 'gone'), (8, 'lost')):
+        assert cell.start((attempt_key('j', 0, task, 2), worker))
+    planner = Planner(cell.state, AdvisorReplyCache(), HealthTracker())
+    usable = frozenset((WorkerId('v'), WorkerId('w')))
+    now = NOW_S + LOST_AFTER_S
+    assert planner.plan(PlanningContext(usable, now, now)).start_groups
+
+
 def crash_many_tasks() -> StateFixture:
     """Return a nearly idle cell and a job whose 20 tasks a crash has ended."""
     cell = StateFixture('crashed', 'v', 'w')
