--- a/review/shared-2/tests/minion.py
+++ b/review/shared-2/tests/minion.py
@@ -6,11 +6,13 @@
 ``{"lasting": true}`` for a task that runs until it is stopped.
 """
 
+import http.client
 import http.server
 import json
 import math
 import random
 import socket
+import struct
 import threading
 import time
 
@@ -101,6 +103,9 @@
         self.log = log
         # While True, starts get 503 and nothing is done.
         self.is_unhealthy = False
+        self.state = 'ready'
+        # Called in a thread when a task begins whose spec says ``deadly``.
+        self.on_deadly = None
         self.life = _Life(self)
 
     def crash(self):
@@ -111,6 +116,22 @@
         """Begin the next life under the same id."""
         self.life = _Life(self)
 
+    def drain(self):
+        """Say that this minion drains until that is acknowledged."""
+        self.state = 'draining'
+        while not self.life.send_beat(random.choice(self.controls)):
+            time.sleep(0.2)
+        self.record.write(f'{self.id} drains, acknowledged')
+
+    def leave(self, *, is_cut):
+        """Send the DELETE of a planned end.
+
+        With ``is_cut`` what is sent to this minion is refused from now on, so
+        that the DELETE arrives on an open connection and its answer is lost.
+        Returns whether the DELETE is acknowledged.
+        """
+        return self.life.deregister(is_cut=is_cut)
+
     def used_cpu(self, cpu_by_job):
         """Return what runs here, in thousandths of a core."""
         return sum(
@@ -127,13 +148,19 @@
         self.begun_by_job = {}
         self.running = {}
         self.last_end_by_job = {}
-        self.violations = []
+        # Tasks that began on a minion while they ran on another one.
+        self.overlaps = []
 
     def begin(self, minion, task, attempt):
         """Note the begin of a run."""
         job = task.split('.')[0]
         with self.lock:
             self.begun_by_job.setdefault(job, []).append(time.monotonic())
+            self.overlaps.extend(
+                (task, other, minion.id)
+                for other_task, _, other in self.running.get(job, ())
+                if other_task == task and other != minion.id
+            )
             self.running.setdefault(job, set()).add((task, attempt, minion.id))
         self.record.write(f'{minion.id} begins {task} run {attempt}')
 
@@ -169,6 +196,7 @@
         self._run_by_task = {}
         self._highest_by_task = {}
         self._has_ended = False
+        self._lost_connection = None
         self._changed = threading.Condition()
         host, _, port = minion.address.rpartition(':')
         self._server = _Server((host, int(port)), _Handler)
@@ -188,11 +216,11 @@
             self._has_ended = True
             for run in list(self._run_by_task.values()):
                 self._minion.log.end(
-                    self._minion, run.task, run.attempt, 'crashed'
+                    self._minion, run.task, run.attempt, 'gone'
                 )
             self._run_by_task.clear()
             self._changed.notify_all()
-        self._minion.record.write(f'{self._minion.id} crashes')
+        self._minion.record.write(f'{self._minion.id} is down')
         self._server.shutdown()
         self._server.server_close()
         for connection in tuple(self._server.open_sockets):
@@ -241,6 +269,12 @@
         self._highest_by_task[task] = attempt
         self._run_by_task[task] = _Run(task, attempt, work_s)
         self._minion.log.begin(self._minion, task, attempt)
+        if spec.get('deadly') and self._minion.on_deadly is not None:
+            threading.Thread(
+                target=self._minion.on_deadly,
+                args=(self._minion,),
+                daemon=True,
+            ).start()
         return 200, self._reply()
 
     def _stop(self, body):
@@ -307,35 +341,76 @@
                     elif time.monotonic() >= run.ends_at:
                         self._finish(run, 'done')
 
+    def deregister(self, *, is_cut):
+        """Send the DELETE; return whether it is acknowledged."""
+        host, _, port = random.choice(self._minion.controls).rpartition(':')
+        connection = http.client.HTTPConnection(host, int(port), timeout=1.0)
+        connection.connect()
+        if is_cut:
+            self._refuse_connections()
+        path = f'/v1/instances/{self._minion.id}'
+        body = json.dumps({'born': self._born}).encode()
+        self._minion.record.write(f'{self._minion.id} sends its DELETE')
+        connection.request(
+            'DELETE', path, body, {'Content-Type': 'application/json'}
+        )
+        if is_cut:
+            # The answer doesn't arrive.  The connection stays open.
+            self._lost_connection = connection
+            return False
+        status = connection.getresponse().status
+        connection.close()
+        self._minion.record.write(f'{self._minion.id} is told {status}')
+        return status == 200
+
+    def _refuse_connections(self):
+        """Refuse new connections and reset the open ones."""
+        self._minion.record.write(
+            f'{self._minion.id} is cut off: what is sent to it is refused'
+        )
+        self._server.shutdown()
+        self._server.server_close()
+        for connection in tuple(self._server.open_sockets):
+            try:
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+                )
+                connection.shutdown(socket.SHUT_RD)
+                connection.close()
+            except OSError:
+                continue
+
+    def send_beat(self, address):
+        """Send one heartbeat; return the next address, empty without one."""
+        self._seq += 1
+        status, document = call(
+            address,
+            'PUT',
+            f'/v1/instances/{self._minion.id}',
+            {
+                'service': SERVICE,
+                'addr': self._minion.address,
+                'zone': self._minion.zone,
+                'version': 'v1',
+                'slots': 8,
+                'state': self._minion.state,
+                'cold_left_ms': 0,
+                'capacity': self._minion.capacity,
+                'labels': self._minion.labels,
+                'server_time_ms': self._clock_ms(),
+                'seq': self._seq,
+                'born': self._born,
+            },
+            timeout_s=1.0,
+        )
+        if status != 200:
+            return ''
+        return document.get('heartbeat_addr', address)
+
     def _beat(self):
         address = ''
         while not self._has_ended:
-            self._seq += 1
-            if not address:
-                address = random.choice(self._minion.controls)
-            status, document = call(
-                address,
-                'PUT',
-                f'/v1/instances/{self._minion.id}',
-                {
-                    'service': SERVICE,
-                    'addr': self._minion.address,
-                    'zone': self._minion.zone,
-                    'version': 'v1',
-                    'slots': 8,
-                    'state': 'ready',
-                    'cold_left_ms': 0,
-                    'capacity': self._minion.capacity,
-                    'labels': self._minion.labels,
-                    'server_time_ms': self._clock_ms(),
-                    'seq': self._seq,
-                    'born': self._born,
-                },
-                timeout_s=1.0,
+            address = self.send_beat(
+                address or random.choice(self._minion.controls)
             )
-            if status != 200:
-                address = ''
-                time.sleep(0.2)
-                continue
-            address = document.get('heartbeat_addr', address)
-            time.sleep(HEARTBEAT_MS / 1000)
+            time.sleep(HEARTBEAT_MS / 1000 if address else 0.2)
