--- a/review/shared-2/tests/cell.py
+++ b/review/shared-2/tests/cell.py
@@ -206,7 +206,7 @@
     def __init__(self, record):
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-cell-'))
-        self.network = _free_network()
+        self.network, self._reservation = _reserve_network()
         deploy = tomllib.loads(
             (ROOT / 'deploy' / 'system.toml').read_text(encoding='utf-8')
         )
@@ -231,6 +231,7 @@
     def __exit__(self, *_):
         for machine in (*self.cores, *self.edges):
             machine.kill()
+        self._reservation.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     @property
@@ -405,15 +406,18 @@
     return f'{random.getrandbits(64):016x}'
 
 
-def _free_network():
+def _reserve_network():
+    """Return a loopback network of no other cell, and what reserves it."""
     networks = list(range(20, 120))
     random.shuffle(networks)
     for network in networks:
-        probe = socket.socket()
-        with contextlib.closing(probe):
-            try:
+        reservation = socket.socket()
+        try:
+            reservation.bind((f'127.{network}.0.1', CONTROL_PORT))
+            with contextlib.closing(socket.socket()) as probe:
                 probe.bind((f'127.{network}.1.1', CONTROL_PORT))
-            except OSError:
-                continue
-            return network
+        except OSError:
+            reservation.close()
+            continue
+        return network, reservation
     raise CannotRunError('no loopback network is free')
