--- a/review/9/tests/scenario.py
+++ b/review/9/tests/scenario.py
@@ -1,6 +1,7 @@
 """Jobs whose starts were refused are missing from the queue's length."""
 
 import pathlib
+import threading
 import time
 
 from cell import (
@@ -18,7 +19,7 @@
 from runner import run
 
 FOLDER = pathlib.Path(__file__).resolve().parents[1]
-MINIONS = 8
+MINIONS = 12
 JOBS = 10
 BATCH = '/batch/'
 # Jobs accepted longer ago than this have to be counted.
@@ -38,6 +39,8 @@
     cell.wait_until_ready()
     time.sleep(3)
     minions[-1].is_unhealthy = has_trouble
+    recovery = threading.Timer(UNHEALTHY_S, _recover, (minions[-1], record))
+    recovery.start()
     unhealthy_until = time.monotonic() + UNHEALTHY_S
     if has_trouble:
         record.write(f'{minions[-1].id} is unhealthy for {UNHEALTHY_S} s')
@@ -61,18 +64,22 @@
         accepted_at[job] = time.monotonic()
     time.sleep(SETTLED_S + 0.2)
     held = True
-    while time.monotonic() < unhealthy_until - 0.2:
+    while time.monotonic() < unhealthy_until - 0.4:
         for edge in cell.edges:
             held &= _is_length_true(edge, record, log, accepted_at)
         time.sleep(0.3)
-    minions[-1].is_unhealthy = False
-    record.write('the minion is healthy again')
+    recovery.join()
     time.sleep(5)
     begun = sum(log.has_begun(job) for job in accepted_at)
     record.write(f'{begun} of {JOBS} jobs have begun by now')
     return held
 
 
+def _recover(minion, record):
+    minion.is_unhealthy = False
+    record.write('the minion is healthy again')
+
+
 def _is_length_true(edge, record, log, accepted_at):
     """Read the queue's length at a machine and compare it with the jobs."""
     status, document = call(
