Remove a worker only when its leases have expired or it was replaced

Cause: a refused connection, or an orderly close with no connection accepted since, was taken for the end of a worker that had deregistered. A worker whose deregistration got no answer runs on, and a cut may refuse and close connections.

EndProof states what proves an end; connections no longer do. So that departures don't wait for a full lease, workers that leave hold short ones, and for one that deregistered only the leases of its own incarnation count.

--- a/libs/workflows/src/cassiahold/workflows/sessions.py
+++ b/libs/workflows/src/cassiahold/workflows/sessions.py
@@ -20,19 +20,15 @@
     CrashEvidence,
     weigh_crash,
 )
+from cassiahold.workflows.leases import WorkerLeases
 from cassiahold.workflows.model import AttemptKey, AttemptOutcome, WorkerInfo
-from cassiahold.workflows.poll_failures import PollFailure, ProcessEvidence
 
-MAX_CLOCK_DRIFT: typing.Final = 0.02  # a worker's clock runs at most 2% slow
-LEASE_MARGIN_S: typing.Final = 0.3  # added to the computed end of a lease
-LEASE_SHARE: typing.Final = 0.85  # of the longest lease that workers accept
 SILENCE_TIMEOUT_S: typing.Final = 1.5  # no new work without a reply this long
 # Less than a worker takes to restart, run an attempt and list its end.
 ACKNOWLEDGEMENT_WINDOW_S: typing.Final = 0.5
 # Longer than a start is tried and its first stop takes to be confirmed.
 UNSETTLED_START_S: typing.Final = 2.0
 UNHEALTHY_PAUSE_S: typing.Final = 1.0  # after a refusal as unhealthy
-_MS: typing.Final = 1000
 
 
 class RunningAttempt(msgspec.Struct, frozen=True):
@@ -112,20 +108,20 @@
         self.last_reply_at: float | None = None
         self._acknowledge_until = now
         self._first_listed_end: float = math.inf
-        # An earlier leader may have granted a full lease just before.
-        self.leases_expire_at = now + _longest_lease_s(max_lease_s)
-        self._max_lease_s = max_lease_s
-        self._lease_s = max_lease_s * LEASE_SHARE
-        self._clock_ms = 0
-        self._clock_read_at = now
-        self._is_clock_known = False
+        self._leases = WorkerLeases(max_lease_s, now)
         self._paused_until = now
         self.is_failing = False
-        self.process_evidence = ProcessEvidence()
+        # Forgotten when the worker runs on.
+        self.deregistered_at: float | None = None
         self._has_unexpected_attempts = False
         self._alive_at = -math.inf
         self._start_by_attempt: dict[AttemptKey, _StartState] = {}
 
+    @property
+    def has_deregistered(self) -> bool:
+        """Tell whether the worker said that it leaves, and may have left."""
+        return self.deregistered_at is not None
+
     @property
     def has_replied(self) -> bool:
         """Tell whether the worker has replied to a poll with this fence."""
@@ -171,9 +167,27 @@
             for attempt in missing_attempts
         )
 
-    def has_expired(self, now: float) -> bool:
-        """Tell whether every lease that the worker may hold has expired."""
-        return now >= self.leases_expire_at
+    def has_expired(
+        self, now: float, attempts: typing.Iterable[AttemptKey]
+    ) -> bool:
+        """Tell whether every lease has expired under which attempts may run.
+
+        For a worker that has deregistered, those of the known incarnation
+        count, unless the start of an attempt may still reach another one.
+        """
+        if self.has_deregistered and not self._is_any_in_doubt(attempts):
+            return self._leases.have_expired_at_known_incarnation(now)
+        return self._leases.have_expired(now)
+
+    def _is_any_in_doubt(self, attempts: typing.Iterable[AttemptKey]) -> bool:
+        """Tell whether it is not known if the start of an attempt arrived."""
+        starts = map(self._start_by_attempt.get, attempts)
+        return any(
+            start is not None
+            and start.confirmed_at is None
+            and not start.is_refused
+            for start in starts
+        )
 
     def pause(self, now: float) -> None:
         """Send no new work for a while after a refusal as unhealthy."""
@@ -184,23 +198,19 @@
 
         Returns None while the clock is not known, and for a silent worker:
         a request without a reply may still have been carried out, so each one
-        would postpone the time at which all its leases have expired.
+        would postpone the time at which all its leases have expired.  A
+        worker that leaves counts as silent as soon as a poll fails.
         """
-        if not self._is_clock_known or self._is_silent(now):
+        is_leaving = self.has_deregistered or self.info.is_draining
+        if not self._leases.is_clock_known or self._is_silent(now):
+            return None
+        if is_leaving and self.is_failing:
             return None
-        elapsed_ms = max(now - self._clock_read_at, 0) * _MS
-        until_ms = int(self._clock_ms + elapsed_ms + self._lease_s * _MS)
-        # A worker that has restarted unnoticed takes it for the longest lease.
-        expires_at = now + _longest_lease_s(self._max_lease_s)
-        self.leases_expire_at = max(self.leases_expire_at, expires_at)
-        return until_ms
+        return self._leases.grant(now, is_leaving=is_leaving)
 
     def record_clock(self, clock_ms: int, received_at: float) -> None:
         """Record the worker's clock from a reply; ignore older readings."""
-        if clock_ms >= self._clock_ms:
-            self._clock_ms = clock_ms
-            self._clock_read_at = received_at
-            self._is_clock_known = True
+        self._leases.record_clock(clock_ms, received_at)
 
     # Starts and stops.
 
@@ -266,15 +276,12 @@
         is_listed = self._first_listed_end <= self.last_stored_end
         return self.last_stored_end if is_listed else 0
 
-    def record_poll_failed(
-        self, failure: PollFailure = PollFailure.NO_REPLY
-    ) -> None:
+    def record_poll_failed(self) -> None:
         """Record that a poll got no reply: the worker may have restarted.
 
         The worker gets no new work until it replies to a poll.
         """
         self.record_unreachable()
-        self.process_evidence.record_failure(failure)
         self._acknowledge_until = 0.0
 
     def record_unreachable(self) -> None:
@@ -327,7 +334,6 @@
         self.last_reply_at = now
         self._alive_at = now
         self.is_failing = False
-        self.process_evidence.record_alive()
         self._acknowledge_until = now + ACKNOWLEDGEMENT_WINDOW_S
         self._first_listed_end = min(
             (row.end_number for row in reply.ended), default=math.inf
@@ -416,8 +422,3 @@
         self, attempt: AttemptKey, outcome: AttemptOutcome, checkpoint: str
     ) -> AttemptResult:
         return AttemptResult(attempt, self.info.id, outcome, checkpoint)
-
-
-def _longest_lease_s(max_lease_s: float) -> float:
-    """Return how long a worker may hold a lease that it was just granted."""
-    return max_lease_s / (1 - MAX_CLOCK_DRIFT) + LEASE_MARGIN_S
--- a/libs/workflows/tests/test_sessions.py
+++ b/libs/workflows/tests/test_sessions.py
@@ -5,10 +5,9 @@
 
 from cassiahold.core.testing import function_tests
 from cassiahold.workflows.crashes import CrashEvidence
+from cassiahold.workflows.leases import LEASE_MARGIN_S, MAX_CLOCK_DRIFT
 from cassiahold.workflows.model import AttemptOutcome
 from cassiahold.workflows.sessions import (
-    LEASE_MARGIN_S,
-    MAX_CLOCK_DRIFT,
     EndedAttempt,
     PollReply,
     RunningAttempt,
@@ -221,8 +220,8 @@
 
 def test_new_leader_waits_for_leases_of_earlier_leaders() -> None:
     session = make_session(now=10.0)
-    assert not session.has_expired(10.0 + MAX_LEASE_S)
-    assert session.has_expired(10.0 + MAX_LEASE_S * 1.1)
+    assert not session.has_expired(10.0 + MAX_LEASE_S, ())
+    assert session.has_expired(10.0 + MAX_LEASE_S * 1.1, ())
 
 
 def test_session_expires_only_after_every_granted_lease() -> None:
@@ -235,7 +234,7 @@
     assert until_ms <= 1000 + (20.0 - 0.1 + MAX_LEASE_S) * 1000
     # The worker's clock may run 2% slow while the lease lasts.
     latest_end_s = 0.1 + (until_ms - 1000) / 1000 / 0.98
-    assert not session.has_expired(latest_end_s)
+    assert not session.has_expired(latest_end_s, ())
 
 
 def test_polls_without_reply_do_not_extend_the_leases() -> None:
@@ -248,7 +247,7 @@
     # The last lease was granted at most 1.5 s after the last reply, and lasts
     # longest on a slow clock.
     longest_lease_s = MAX_LEASE_S / (1 - MAX_CLOCK_DRIFT) + LEASE_MARGIN_S
-    assert session.has_expired(1.7 + longest_lease_s)
+    assert session.has_expired(1.7 + longest_lease_s, ())
 
 
 def test_worker_that_replies_again_gets_leases_again() -> None:
--- a/programs/cell/src/cassiahold/cell/clients.py
+++ b/programs/cell/src/cassiahold/cell/clients.py
@@ -9,11 +9,9 @@
 
 import msgspec
 
-from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import WorkerId
 from cassiahold.workflows.advisor_replies import AdvisorReply
 from cassiahold.workflows.model import AttemptKey, StepKey, WorkerInfo
-from cassiahold.workflows.poll_failures import PollFailure
 from cassiahold.workflows.sessions import PollReply
 
 
@@ -83,29 +81,11 @@
     max_wait_s: float
 
 
-class ClosedByWorkerError(CassiaholdError):
-    """The worker's host itself closed the connection, or refused a new one.
-
-    A network that loses or resets connections does not look like that.
-    """
-
-
-def poll_failure(exc: Exception) -> PollFailure:
-    """Return what the exception of a poll tells about the worker."""
-    is_unreachable = (
-        isinstance(exc, CassiaholdError) and exc.kind is ErrorKind.UNREACHABLE
-    )
-    if isinstance(exc, ClosedByWorkerError):
-        return PollFailure.REFUSED if is_unreachable else PollFailure.CLOSED
-    return PollFailure.UNREACHABLE if is_unreachable else PollFailure.NO_REPLY
-
-
 class WorkerClient(typing.Protocol):
     """Client of the workers.
 
     Without a reply, raises ``UNREACHABLE`` when the request cannot have
-    arrived and ``OUTCOME_UNKNOWN`` when it may have, as a
-    ``ClosedByWorkerError`` where that is known.
+    arrived and ``OUTCOME_UNKNOWN`` when it may have.
     """
 
     def start(self, request: StartRequest, timeout_s: float) -> WorkerReply:
--- a/programs/cell/src/cassiahold/cell/local_requests.py
+++ b/programs/cell/src/cassiahold/cell/local_requests.py
@@ -13,7 +13,6 @@
 from cassiahold.workflows.advisor_replies import AdvisorReply
 from cassiahold.workflows.model import AttemptKey
 from cassiahold.workflows.plans import AdvisorQuery
-from cassiahold.workflows.poll_failures import PollFailure
 from cassiahold.workflows.sessions import PollReply
 
 
@@ -39,8 +38,7 @@
 class PollDone(msgspec.Struct, frozen=True):
     """Reports the outcome of a poll.
 
-    ``reply`` is None without a reply, for the reason ``failure``, and when
-    another incarnation replied.
+    ``reply`` is None without a reply and when another incarnation replied.
     """
 
     worker: WorkerId
@@ -48,7 +46,6 @@
     reply: PollReply | None
     sent_at: float
     is_other_incarnation: bool = False
-    failure: PollFailure = PollFailure.NO_REPLY
 
 
 class StartDone(msgspec.Struct, frozen=True):
--- a/programs/cell/src/cassiahold/cell/request_sender.py
+++ b/programs/cell/src/cassiahold/cell/request_sender.py
@@ -20,7 +20,6 @@
     StartRequest,
     StopRequest,
     WorkerClient,
-    poll_failure,
 )
 from cassiahold.cell.leader_client import LeaderClient
 from cassiahold.cell.reply_times import ReplyTimes
@@ -171,9 +170,7 @@
                 reason=detail_of(exc),
             )
             threading.Event().wait(FAILED_POLL_PAUSE_S)
-            return local.PollDone(
-                worker, request.fence, None, sent_at, failure=poll_failure(exc)
-            )
+            return local.PollDone(worker, request.fence, None, sent_at)
         if not request.max_wait_s:
             self._reply_times.record(worker, boottime_s() - sent_at)
         return local.PollDone(
--- a/programs/cell/src/cassiahold/cell/worker_ends.py
+++ b/programs/cell/src/cassiahold/cell/worker_ends.py
@@ -1,5 +1,6 @@
 """Ends of workers' incarnations: departures, crashes and removals."""
 
+import enum
 import time
 import typing
 
@@ -11,26 +12,37 @@
 from cassiahold.core import logs
 from cassiahold.core.ids import WorkerId
 from cassiahold.workflows import commands
-from cassiahold.workflows.model import IncarnationKey
+from cassiahold.workflows.model import AttemptKey, IncarnationKey
 from cassiahold.workflows.sessions import WorkerSession
 from cassiahold.workflows.state import WorkflowState
 
-# Time for a worker that deregistered to end its process.
+# A worker that replies to a poll sent this long after it deregistered runs on.
 DEREGISTRATION_DELAY_S: typing.Final = 0.5
 # A worker that still replies after this time has not left.
 MAX_DEPARTURE_S: typing.Final = 10.0
 
 
+class EndProof(enum.Enum):
+    """What proves that a worker's process runs none of its attempts any more.
+
+    ``REPLACED`` means that another process replied at the worker's address,
+    ``LEASES_EXPIRED`` that every lease has expired that the worker may hold.
+
+    Nothing else proves it.  A worker ends once its deregistration is
+    acknowledged, but the acknowledgement may be lost.  Silence, a refused
+    connection and the end of an open one may all come from the network while
+    the worker runs on.
+    """
+
+    REPLACED = 'replaced'
+    LEASES_EXPIRED = 'leases_expired'
+
+
 class WorkerEnds:
     """Tells why incarnations of workers end, and removes workers.
 
-    A worker is removed when it has left, when another process has its
-    address, or when all of its leases have expired.
-
-    A deregistration alone does not prove that a worker has left: without an
-    acknowledgement it runs on for a while, and if it is then cut off, its
-    silence says nothing.  It has left if its connections also show that its
-    process has ended.
+    A worker is removed once there is a proof of its end.  One that leaves
+    holds short leases, so its attempts start elsewhere soon after its end.
     """
 
     def __init__(
@@ -42,8 +54,6 @@
         self._state = state
         self._sessions = sessions
         self._attempt_ends = attempt_ends
-        # When workers deregistered that are not known to run on.
-        self._departed_at_by_worker: dict[WorkerId, float] = {}
         # Workers whose address another process has.
         self._replaced_workers: set[WorkerId] = set()
         # Departures that may be those of an earlier incarnation.
@@ -53,10 +63,9 @@
 
     def is_deregistered(self, worker: WorkerId) -> bool:
         """Tell whether a worker will be removed soon."""
-        return (
-            worker in self._departed_at_by_worker
-            or worker in self._replaced_workers
-        )
+        session = self._sessions.get(worker)
+        has_deregistered = session is not None and session.has_deregistered
+        return has_deregistered or worker in self._replaced_workers
 
     def deregister(
         self, request: requests.WorkerLeft, now: float
@@ -90,7 +99,8 @@
     ) -> requests.Acknowledged | Proposal:
         """Remove an incarnation soon and store that it has not crashed."""
         if session is not None and session.info.incarnation == incarnation:
-            self._departed_at_by_worker.setdefault(worker, now)
+            if not session.has_deregistered:
+                session.deregistered_at = now
             logs.info('worker_left', worker=worker, born=incarnation)
         if not self._is_departure_new(worker, incarnation):
             return requests.Acknowledged()
@@ -131,10 +141,12 @@
         One that does not end gets work again.
         """
         self._forget_late_departure(request)
-        departed_at = self._departed_at_by_worker.get(request.worker)
-        if departed_at is not None and now >= departed_at + MAX_DEPARTURE_S:
+        session = self._sessions.get(request.worker)
+        if session is None or session.deregistered_at is None:
+            return
+        if now >= session.deregistered_at + MAX_DEPARTURE_S:
             logs.info('worker_has_not_left', worker=request.worker)
-            self._departed_at_by_worker.pop(request.worker)
+            session.deregistered_at = None
 
     def record_next_incarnation(self, session: WorkerSession) -> None:
         """Record why the incarnation of a session ended: another follows."""
@@ -147,37 +159,31 @@
 
     def forget(self, worker: WorkerId) -> None:
         """Forget what is known of the earlier incarnations of a worker."""
-        self._departed_at_by_worker.pop(worker, None)
         self._replaced_workers.discard(worker)
         self._unconfirmed_departure_at_by_worker.pop(worker, None)
         self._crashed_workers.discard(worker)
 
     def removal_commands(self, now: float) -> list[commands.Command]:
-        """Return the commands that remove deregistered and expired workers.
+        """Return the commands that remove the workers that have ended.
 
-        Such a worker runs nothing any more: its process has ended or all of
-        its leases have expired.  Its attempts end as lost with their last
-        checkpoint.
+        Their attempts end as lost with their last checkpoint.
         """
         removals: list[commands.Command] = []
         for session in list(self._sessions.session_by_worker.values()):
-            has_left = self._has_left(session, now)
-            if has_left or session.has_expired(now):
-                removals.extend(self._remove(session, now, has_left=has_left))
+            proof = self._end_proof(session, now)
+            if proof is not None:
+                removals.extend(self._remove(session, proof, now))
         return removals
 
-    def _has_left(self, session: WorkerSession, now: float) -> bool:
+    def _end_proof(self, session: WorkerSession, now: float) -> EndProof | None:
         if session.info.id in self._replaced_workers:
-            return True
-        departed_at = self._departed_at_by_worker.get(session.info.id)
-        return (
-            departed_at is not None
-            and session.process_evidence.has_ended
-            and now >= departed_at + DEREGISTRATION_DELAY_S
-        )
+            return EndProof.REPLACED
+        if session.has_expired(now, self._attempts(session.info.id)):
+            return EndProof.LEASES_EXPIRED
+        return None
 
     def _remove(
-        self, session: WorkerSession, now: float, *, has_left: bool
+        self, session: WorkerSession, proof: EndProof, now: float
     ) -> list[commands.Command]:
         worker = session.info.id
         self._sessions.close(worker)
@@ -185,15 +191,16 @@
             'worker_lost',
             worker=worker,
             born=session.info.incarnation,
-            has_left=has_left,
-            has_deregistered=worker in self._departed_at_by_worker,
-            attempts=self._attempt_count(worker),
+            proof=proof.value,
+            has_deregistered=session.has_deregistered,
+            attempts=len(self._attempts(worker)),
             silent_s=now - (session.last_reply_at or now),
         )
         if worker in self._crashed_workers:
             self._attempt_ends.record_crash(session)
         is_explained = (
-            has_left
+            proof is EndProof.REPLACED
+            or session.has_deregistered
             or self._has_departed(session)
             or worker in self._unconfirmed_departure_at_by_worker
         )
@@ -208,9 +215,10 @@
             ),
         ]
 
-    def _attempt_count(self, worker: WorkerId) -> int:
+    def _attempts(self, worker: WorkerId) -> typing.Collection[AttemptKey]:
+        """Return the attempts that may be running on a worker."""
         record = self._state.worker_by_id.get(worker)
-        return 0 if record is None else len(record.resources_by_attempt)
+        return () if record is None else record.resources_by_attempt
 
     def _has_departed(self, session: WorkerSession) -> bool:
         record = self._state.worker_by_id.get(session.info.id)
--- a/programs/cell/src/cassiahold/cell/worker_polls.py
+++ b/programs/cell/src/cassiahold/cell/worker_polls.py
@@ -73,7 +73,7 @@
             self._worker_ends.mark_replaced(request.worker)
             return local.SessionClosed()
         if request.reply is None:
-            session.record_poll_failed(request.failure)
+            session.record_poll_failed()
             return self._next_poll(session, now, max_wait_s=0.0)
         if request.reply.incarnation not in {0, session.info.incarnation}:
             return self._update_incarnation(session, request.reply.incarnation)
--- a/programs/cell/tests/leader_fixtures.py
+++ b/programs/cell/tests/leader_fixtures.py
@@ -37,7 +37,6 @@
     WorkflowSpec,
 )
 from cassiahold.workflows.plans import AdvisorQuery
-from cassiahold.workflows.poll_failures import PollFailure
 from cassiahold.workflows.sessions import (
     EndedAttempt,
     PollReply,
@@ -56,6 +55,8 @@
 )
 # After this time without a reply every lease of a worker has expired.
 LEASE_S = 8
+# The same for a worker that drained for as long as its longest lease.
+LEAVING_LEASE_S = 3.5
 SPEC = WorkflowSpec('payload', (StepSpec(1, Resources(1000, 10)),))
 
 
@@ -131,14 +132,11 @@
         fence = self.sender.fence_by_worker[worker]
         return self.handle(local.PollDone(worker, fence, reply, boottime_s()))
 
-    def fail_poll(
-        self, name: str, failure: PollFailure = PollFailure.NO_REPLY
-    ) -> None:
+    def fail_poll(self, name: str) -> None:
+        """Let a poll get no reply, whatever ended its connection."""
         worker = WorkerId(name)
         fence = self.sender.fence_by_worker[worker]
-        self.handle(
-            local.PollDone(worker, fence, None, boottime_s(), failure=failure)
-        )
+        self.handle(local.PollDone(worker, fence, None, boottime_s()))
 
     def reply_to_poll_at(
         self,
--- a/programs/cell/tests/model_leader.py
+++ b/programs/cell/tests/model_leader.py
@@ -17,7 +17,6 @@
     PollRequest,
     StartRequest,
     StopRequest,
-    poll_failure,
 )
 from cassiahold.cell.reply_times import ReplyTimes
 from cassiahold.cell.request_sender import (
@@ -34,7 +33,6 @@
 from cassiahold.core.metrics import NullMetrics
 from cassiahold.workflows.model import AttemptKey, WorkerInfo
 from cassiahold.workflows.plans import AdvisorQuery
-from cassiahold.workflows.poll_failures import PollFailure
 
 TICK_S = 0.05
 FLUSH_DELAY_S = 0.002
@@ -240,18 +238,14 @@
     ) -> None:
         worker = request.worker.id
         pause_s = 0.0
-        failure = PollFailure.NO_REPLY
         try:
             reply = outcome()
-        except CassiaholdError as exc:
+        except CassiaholdError:
             reply = None
             pause_s = FAILED_POLL_PAUSE_S
-            failure = poll_failure(exc)
         if reply is not None and not request.max_wait_s:
             self._reply_times.record(worker, self._simulation.now - sent_at)
-        done = local.PollDone(
-            worker, request.fence, reply, sent_at, failure=failure
-        )
+        done = local.PollDone(worker, request.fence, reply, sent_at)
         next_poll = functools.partial(
             self._poll_again,
             request.fence,
--- a/programs/cell/tests/model_network.py
+++ b/programs/cell/tests/model_network.py
@@ -8,7 +8,6 @@
 from model_worker import Incarnation
 
 from cassiahold.cell.clients import (
-    ClosedByWorkerError,
     PollRequest,
     StartRequest,
     StopRequest,
@@ -183,7 +182,7 @@
                 self._finish(_raising(exc))
 
     def _refuse_connection(self) -> None:
-        refused = ClosedByWorkerError(ErrorKind.UNREACHABLE, 'refused')
+        refused = CassiaholdError(ErrorKind.UNREACHABLE, 'refused')
         self._raise_after(REFUSAL_S, refused)
 
     def _fail_after(self, delay_s: float, kind: ErrorKind) -> None:
--- a/programs/cell/tests/test_departures.py
+++ b/programs/cell/tests/test_departures.py
@@ -5,6 +5,7 @@
 import msgspec
 from leader_fixtures import (
     LEASE_S,
+    LEAVING_LEASE_S,
     SPEC,
     LeaderFixture,
     confirm,
@@ -23,7 +24,6 @@
 from cassiahold.core.ids import WorkerId
 from cassiahold.core.testing import function_tests
 from cassiahold.workflows.crashes import CrashEvidence
-from cassiahold.workflows.poll_failures import PollFailure
 from cassiahold.workflows.sessions import PollReply, RunningAttempt
 
 W = WorkerId('w')
@@ -146,8 +146,8 @@
     leader = make_leader('w')
     leader.send_heartbeat('w', sequence=2, is_draining=True)
     leader.handle(requests.WorkerLeft(W, 0))
-    leader.fail_poll('w', PollFailure.REFUSED)
-    leader.apply_due_commands(boottime_s() + 1)
+    leader.fail_poll('w')
+    leader.apply_due_commands(boottime_s() + LEASE_S)
     assert W not in leader.service.state.worker_by_id
 
 
@@ -162,8 +162,8 @@
         leader.reply_to_poll_at('w', left_at + elapsed_s, 1, (running,))
         leader.apply_due_commands(left_at + elapsed_s + 0.3)
     assert W in leader.service.state.worker_by_id
-    leader.fail_poll('w', PollFailure.REFUSED)
-    leader.apply_due_commands(left_at + 1.5)
+    leader.fail_poll('w')
+    leader.apply_due_commands(left_at + LEASE_S)
     assert W not in leader.service.state.worker_by_id
 
 
@@ -182,63 +182,78 @@
     assert W not in leader.service.state.worker_by_id
 
 
-def test_worker_that_left_and_has_ended_is_removed_at_once() -> None:
-    # Its deregistration may arrive after the end of its connection.
-    for failures in (
-        (PollFailure.REFUSED,),
-        (PollFailure.CLOSED, PollFailure.UNREACHABLE),
-        (PollFailure.CLOSED, PollFailure.UNREACHABLE, PollFailure.UNREACHABLE),
-    ):
-        for failures_before in range(len(failures) + 1):
-            leader = make_leader('w')
-            start_on_worker(leader)
-            left_at = boottime_s()
-            for failure in failures[:failures_before]:
-                leader.fail_poll('w', failure)
-            leader.handle(requests.WorkerLeft(W, 1))
-            for failure in failures[failures_before:]:
-                leader.fail_poll('w', failure)
-            leader.apply_due_commands(left_at + 0.7)
-            assert W not in leader.service.state.worker_by_id
-
-
-def test_worker_that_left_is_kept_without_proof_that_it_has_ended() -> None:
-    for failures in (
-        # It closed a connection and accepted another.
-        (PollFailure.CLOSED,),
-        (PollFailure.CLOSED, PollFailure.NO_REPLY, PollFailure.UNREACHABLE),
-        (PollFailure.REFUSED, PollFailure.NO_REPLY),
-        # It is cut off.
-        (PollFailure.NO_REPLY, PollFailure.UNREACHABLE),
-    ):
-        leader = make_leader('w')
-        start_on_worker(leader)
-        leader.handle(requests.WorkerLeft(W, 1))
-        for failure in failures:
-            leader.fail_poll('w', failure)
-        leader.apply_due_commands(boottime_s() + 3)
-        assert W in leader.service.state.worker_by_id
+def drain_until_its_lease_is_short(
+    leader: LeaderFixture, running: tuple[RunningAttempt, ...]
+) -> float:
+    """Let ``w`` drain and reply for as long as its lease.
 
+    Returns the time of its last reply.
+    """
+    leader.send_heartbeat('w', sequence=2, is_draining=True)
+    now = boottime_s()
+    for elapsed_s in range(LEASE_S):
+        leader.reply_to_poll_at('w', now + elapsed_s, running=running)
+    return now + LEASE_S - 1
 
-def test_worker_that_replies_after_it_closed_a_connection_has_not_left() -> (
-    None
-):
+
+def test_attempts_of_a_worker_that_leaves_start_elsewhere_sooner() -> None:
+    # Nothing but its lease proves that a worker has ended, so it is short.
     leader = make_leader('w')
     start = start_on_worker(leader)
-    leader.fail_poll('w', PollFailure.CLOSED)
-    running = RunningAttempt(start.attempt, '', 5)
-    leader.reply_to_poll('w', running=(running,))
+    running = (RunningAttempt(start.attempt, '', 5),)
+    left_at = drain_until_its_lease_is_short(leader, running)
     leader.handle(requests.WorkerLeft(W, 1))
-    leader.fail_poll('w', PollFailure.UNREACHABLE)
-    leader.apply_due_commands(boottime_s() + 3)
+    leader.fail_poll('w')
+    leader.apply_due_commands(left_at + 2.9)
     assert W in leader.service.state.worker_by_id
+    leader.apply_due_commands(left_at + LEAVING_LEASE_S)
+    assert W not in leader.service.state.worker_by_id
+
+
+def test_worker_that_drains_but_has_not_left_is_kept_for_its_leases() -> None:
+    # It may have been replaced by an incarnation that took a longer lease.
+    leader = make_leader('w')
+    start = start_on_worker(leader)
+    running = (RunningAttempt(start.attempt, '', 5),)
+    silent_since = drain_until_its_lease_is_short(leader, running)
+    leader.fail_poll('w')
+    leader.apply_due_commands(silent_since + LEAVING_LEASE_S)
+    assert W in leader.service.state.worker_by_id
+    leader.apply_due_commands(silent_since + LEASE_S)
+    assert W not in leader.service.state.worker_by_id
+
+
+def test_unanswered_start_on_a_worker_that_left_waits_for_all_leases() -> None:
+    # It may be carried out late by the next incarnation.
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    left_at = drain_until_its_lease_is_short(leader, ())
+    leader.handle(requests.WorkerLeft(W, 1))
+    leader.fail_poll('w')
+    leader.apply_due_commands(left_at + LEAVING_LEASE_S)
+    assert W in leader.service.state.worker_by_id
+    leader.apply_due_commands(left_at + LEASE_S)
+    assert W not in leader.service.state.worker_by_id
+
+
+def test_worker_that_replies_after_it_left_gets_leases() -> None:
+    leader = make_leader('w')
+    start = start_on_worker(leader)
+    leader.handle(requests.WorkerLeft(W, 1))
+    running = (RunningAttempt(start.attempt, '', 5),)
+    assert leader.reply_to_poll('w', running=running).lease_until_ms
+    leader.fail_poll('w')
+    # From now on each lease would hold up its attempts, if it has ended.
+    fence = leader.sender.fence_by_worker[W]
+    poll = leader.handle(local.GetFirstPoll(W, fence))
+    assert poll.lease_until_ms is None
 
 
 def test_ended_process_alone_removes_no_worker() -> None:
     # Without a deregistration its heartbeats tell whether it is back.
     leader = make_leader('w')
     start_on_worker(leader)
-    leader.fail_poll('w', PollFailure.REFUSED)
+    leader.fail_poll('w')
     leader.apply_due_commands(boottime_s() + 3)
     assert W in leader.service.state.worker_by_id
 
--- a/programs/cell/tests/test_late_ends.py
+++ b/programs/cell/tests/test_late_ends.py
@@ -26,7 +26,6 @@
     JobState,
     TaskKey,
 )
-from cassiahold.workflows.poll_failures import PollFailure
 from cassiahold.workflows.sessions import (
     EndedAttempt,
     PollReply,
@@ -37,12 +36,19 @@
 
 
 def give_up_first_attempt(leader: LeaderFixture) -> StartRequest:
-    """Start a task on ``w`` and remove the worker, which runs on."""
+    """Start a task on ``w`` and remove the worker, which runs on.
+
+    It has deregistered, and another process has its address for a moment.
+    """
     submit(leader, '/q/1')
     (start,) = leader.sender.starts
     confirm(leader, start)
     leader.handle(requests.WorkerLeft(W, 1))
-    leader.fail_poll('w', PollFailure.REFUSED)
+    leader.handle(
+        local.PollDone(
+            W, start.fence, None, boottime_s(), is_other_incarnation=True
+        )
+    )
     leader.apply_due_commands(boottime_s() + 0.6)
     assert W not in leader.service.state.worker_by_id
     return start
--- a/programs/cell/tests/test_sender_reports.py
+++ b/programs/cell/tests/test_sender_reports.py
@@ -17,7 +17,6 @@
 from cassiahold.agreement.replica import LeaseLapsedError
 from cassiahold.cell import local_requests as local
 from cassiahold.cell.clients import (
-    ClosedByWorkerError,
     PollRequest,
     StartRequest,
     StopRequest,
@@ -25,7 +24,7 @@
 from cassiahold.cell.request_sender import (
     ThreadedRequestSender,
 )
-from cassiahold.core.exceptions import ErrorKind
+from cassiahold.core.exceptions import CassiaholdError, ErrorKind
 from cassiahold.core.ids import (
     JobId,
     QueueName,
@@ -35,7 +34,6 @@
 from cassiahold.workflows.configuration import QueuePolicy
 from cassiahold.workflows.model import StepKey
 from cassiahold.workflows.plans import AdvisorQuery
-from cassiahold.workflows.poll_failures import PollFailure
 
 
 class LapsedLeader:
@@ -77,13 +75,13 @@
 
 
 class RefusedClient(ReplyingClient):
-    """A client of workers whose processes have ended."""
+    """A client of workers that refuse connections."""
 
     def poll(self, request: PollRequest, timeout_s: float) -> typing.NoReturn:
-        raise ClosedByWorkerError(ErrorKind.UNREACHABLE, 'refused')
+        raise CassiaholdError(ErrorKind.UNREACHABLE, 'refused')
 
 
-def test_failed_poll_tells_that_the_worker_refused_the_connection() -> None:
+def test_poll_whose_connection_was_refused_is_reported() -> None:
     reports: queue.SimpleQueue[typing.Any] = queue.SimpleQueue()
 
     def handle(request: typing.Any) -> typing.Any:
@@ -99,8 +97,8 @@
         sender.attach(handle, UnusedLeaderClient())
         sender.start_polling(WORKER, 1)
         report = reports.get(timeout=REPEATED_REPORT_S)
-    assert report.reply is None
-    assert report.failure is PollFailure.REFUSED
+    # No failure proves that the worker has ended: see ``EndProof``.
+    assert report == local.PollDone(WORKER.id, 1, None, report.sent_at)
 
 
 def test_polls_go_on_after_the_lease_has_lapsed_for_a_moment() -> None:
