Let jobs follow their queue and team over changes of the configuration

Cause: a job kept the name of its queue, and access, placement, the limit of attempts and the count of unstarted jobs went by that name alone. Teams had the same fault.

docs/design/identity.md decides it once: a queue is its place, a team its name, else its keys, a service its name. identities.py finds the successors, adoption.py applies them when a configuration is adopted; removed queues and teams keep their last policy while they have jobs. Jobs are found by id for the team or key that submitted them.

--- a/libs/workflows/src/cassiahold/workflows/allocations.py
+++ b/libs/workflows/src/cassiahold/workflows/allocations.py
@@ -61,6 +61,18 @@
             )
         self._allocated_by_team[team] = self.usage_of(team) + resources
 
+    def rename_teams(
+        self, team_by_former: typing.Mapping[TeamName, TeamName]
+    ) -> None:
+        """Count what is allocated to some teams for their successors."""
+        allocated_by_former = {
+            former: self._allocated_by_team.pop(former, NO_RESOURCES)
+            for former in team_by_former
+        }
+        for former, allocated in allocated_by_former.items():
+            team = team_by_former[former]
+            self._allocated_by_team[team] = self.usage_of(team) + allocated
+
     def mark_suspect(self, attempt: AttemptKey, worker_id: WorkerId) -> None:
         """Mark the attempt of a task that has become a suspect."""
         self._worker_by_id[worker_id].suspect_attempts.add(attempt)
--- a/libs/workflows/src/cassiahold/workflows/commands.py
+++ b/libs/workflows/src/cassiahold/workflows/commands.py
@@ -10,8 +10,9 @@
 import msgspec
 
 from cassiahold.core.ids import JobId, QueueName, TeamName, WorkerId
-from cassiahold.workflows.configuration import CellConfiguration
+from cassiahold.workflows.configuration import CellConfiguration, QueuePlace
 from cassiahold.workflows.crashes import CrashEvidence
+from cassiahold.workflows.identities import IdentityChanges
 from cassiahold.workflows.model import (
     AttemptKey,
     AttemptOutcome,
@@ -27,13 +28,20 @@
 
 
 class AcceptJob(msgspec.Struct, frozen=True, tag='accept'):
-    """Stores a job unless one with the same id is already stored."""
+    """Stores a job unless one with the same id is already stored.
+
+    ``place`` identifies its queue and ``key`` its team when the command is
+    applied.  Logs written before they were added have only the names, which
+    may have changed.
+    """
 
     id: JobId
     queue: QueueName
     team: TeamName
     spec: WorkflowSpec
     accepted_at: float = msgspec.field(name='at')
+    place: QueuePlace | None = None
+    key: str = ''
 
 
 class CancelJob(msgspec.Struct, frozen=True, tag='cancel'):
@@ -206,8 +214,15 @@
     worker: WorkerId
 
 
+class ConfigurationAdopted(msgspec.Struct, frozen=True):
+    """A configuration is in force; queues moved, teams were renamed."""
+
+    changes: IdentityChanges
+
+
 Effect = (
     AttemptScheduled
+    | ConfigurationAdopted
     | AttemptStopRequired
     | StepClosed
     | JobFinished
--- a/libs/workflows/src/cassiahold/workflows/configuration.py
+++ b/libs/workflows/src/cassiahold/workflows/configuration.py
@@ -22,6 +22,13 @@
     validity_s: float
 
 
+class QueuePlace(typing.NamedTuple):
+    """Where callers reach a queue."""
+
+    host: str
+    prefix: str
+
+
 class QueuePolicy(msgspec.Struct, frozen=True):
     """A queue: its host and path prefix for callers and how its jobs run.
 
@@ -42,6 +49,11 @@
     is_public: bool = msgspec.field(name='is_open', default=False)
     advisor: AdvisorPolicy | None = None
 
+    @property
+    def place(self) -> QueuePlace:
+        """Return what identifies the queue."""
+        return QueuePlace(self.host, self.prefix)
+
 
 class ServicePolicy(msgspec.Struct, frozen=True):
     """A pool of workers that queues refer to by name."""
@@ -74,15 +86,42 @@
     teams: tuple[TeamPolicy, ...] = ()
 
 
+class FormerPolicies(msgspec.Struct, frozen=True, array_like=True):
+    """Last policies of removed queues and teams that still have jobs."""
+
+    queues: tuple[QueuePolicy, ...] = ()
+    teams: tuple[TeamPolicy, ...] = ()
+
+
+NO_FORMER_POLICIES: typing.Final = FormerPolicies()
+
+
 class ConfigurationIndex:
-    """Indexes over one configuration by name, key, host and path."""
+    """Indexes over one configuration by name, place, key and path.
+
+    ``queue_by_place`` and ``team_by_name`` also contain what was removed and
+    still has jobs; the other indexes contain what callers can use.
+    """
 
-    def __init__(self, configuration: CellConfiguration) -> None:
+    def __init__(
+        self,
+        configuration: CellConfiguration,
+        former: FormerPolicies = NO_FORMER_POLICIES,
+    ) -> None:
         self.configuration = configuration
         self.queue_by_name = {
             queue.name: queue for queue in configuration.queues
         }
-        self.team_by_name = {team.name: team for team in configuration.teams}
+        self.queue_by_place = {
+            queue.place: queue
+            for queue in (*former.queues, *configuration.queues)
+        }
+        self.team_by_name = {
+            team.name: team for team in (*former.teams, *configuration.teams)
+        }
+        self._configured_places = {
+            queue.place for queue in configuration.queues
+        }
         self.team_by_key = {
             key: team for team in configuration.teams for key in team.keys
         }
@@ -100,6 +139,16 @@
                 return queue
         return None
 
+    def accepting_queue(
+        self, place: QueuePlace | None, name: QueueName
+    ) -> QueuePolicy | None:
+        """Return the configured queue at a place, by its name without one."""
+        if place is None:
+            return self.queue_by_name.get(name)
+        if place not in self._configured_places:
+            return None
+        return self.queue_by_place[place]
+
 
 def validate_configuration(configuration: CellConfiguration) -> None:
     """Raise ``BAD_CONFIGURATION`` for the first inconsistency found."""
--- a/libs/workflows/src/cassiahold/workflows/snapshots.py
+++ b/libs/workflows/src/cassiahold/workflows/snapshots.py
@@ -10,7 +10,12 @@
 
 from cassiahold.core.ids import JobId, WorkerId
 from cassiahold.workflows.commands import RegisterWorker
-from cassiahold.workflows.configuration import CellConfiguration
+from cassiahold.workflows.configuration import (
+    NO_FORMER_POLICIES,
+    CellConfiguration,
+    ConfigurationIndex,
+    FormerPolicies,
+)
 from cassiahold.workflows.lost_attempts import LostAttempt, LostAttempts
 from cassiahold.workflows.model import JobRecord, WorkerRecord
 from cassiahold.workflows.speeds import SpeedEstimate
@@ -26,6 +31,11 @@
         default_factory=dict
     )
     lost_attempts: LostAttempts = msgspec.field(default_factory=LostAttempts)
+    former: FormerPolicies = NO_FORMER_POLICIES
+
+    def index(self) -> ConfigurationIndex:
+        """Return the indexes over the configuration and what was removed."""
+        return ConfigurationIndex(self.configuration, self.former)
 
 
 class _Snapshot(msgspec.Struct, array_like=True):
@@ -41,6 +51,7 @@
     replaced_incarnation_by_worker: dict[WorkerId, int] = msgspec.field(
         default_factory=dict
     )
+    former: FormerPolicies = NO_FORMER_POLICIES
 
 
 _encode: typing.Final = msgspec.msgpack.Encoder().encode
@@ -71,6 +82,7 @@
                 for worker in workers
                 if worker.replaced_incarnation is not None
             },
+            data.former,
         )
     )
 
@@ -100,4 +112,16 @@
         worker.replaced_incarnation = replaced.get(worker_id)
     for lost in snapshot.lost_attempts:
         data.lost_attempts.add(lost)
+    data.former = snapshot.former
+    _complete_places(data)
     return data
+
+
+def _complete_places(data: ReplicatedData) -> None:
+    """Add the places that snapshots of earlier versions do not contain."""
+    place_by_name = {
+        queue.name: queue.place for queue in data.configuration.queues
+    }
+    for record in data.job_by_id.values():
+        if record.place is None:
+            record.place = place_by_name.get(record.queue)
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -10,9 +10,13 @@
 import msgspec
 
 from cassiahold.core.exceptions import ErrorKind
-from cassiahold.core.ids import JobId, QueueName, TeamName, WorkerId
+from cassiahold.core.ids import JobId, TeamName, WorkerId
 from cassiahold.core.resources import Resources
 from cassiahold.workflows import commands
+from cassiahold.workflows.adoption import (
+    adopt_configuration,
+    forget_unused_policies,
+)
 from cassiahold.workflows.allocations import AllocationLedger
 from cassiahold.workflows.attempt_results import (
     count_against_task,
@@ -26,7 +30,8 @@
 from cassiahold.workflows.command_dispatch import AcceptOutcome, apply_command
 from cassiahold.workflows.configuration import (
     CellConfiguration,
-    ConfigurationIndex,
+    QueuePlace,
+    QueuePolicy,
 )
 from cassiahold.workflows.crashes import is_suspect
 from cassiahold.workflows.late_ends import is_uncounted, remember_lost
@@ -43,7 +48,7 @@
     TaskKey,
     WorkerInfo,
     WorkerRecord,
-    new_job_record,
+    new_steps,
 )
 from cassiahold.workflows.snapshots import (
     ReplicatedData,
@@ -57,6 +62,7 @@
     job_stops,
     replacement_stops,
 )
+from cassiahold.workflows.unstarted_jobs import UnstartedJobs
 
 _ABORTED_STATES: typing.Final = frozenset((JobState.FAILED, JobState.CANCELLED))
 
@@ -138,9 +144,18 @@
         """Return the steps that are ready and have a task to start."""
         return list(self._waiting_steps)
 
-    def count_unstarted_jobs(self, queue: QueueName) -> int:
+    def count_unstarted_jobs(self, place: QueuePlace | None) -> int:
         """Return how many accepted jobs of a queue have not started."""
-        return self._unstarted_count_by_queue.get(queue, 0)
+        return self._unstarted_jobs.count(place)
+
+    def queue_of(self, record: JobRecord) -> QueuePolicy | None:
+        """Return the policy of a job's queue, its last one if it was removed.
+
+        Returns None if the queue was removed before policies were kept.
+        """
+        if record.place is None:
+            return None
+        return self.configuration_index.queue_by_place.get(record.place)
 
     def find_attempt(self, key: TaskKey) -> AttemptRecord | None:
         """Return the attempt of a task that may be in progress."""
@@ -220,17 +235,24 @@
         """Store a job if its id is new and its queue exists."""
         if command.id in self._data.job_by_id:
             return AcceptOutcome(is_first=False)
-        if command.queue not in self.configuration_index.queue_by_name:
+        queue = self.configuration_index.accepting_queue(
+            command.place, command.queue
+        )
+        if queue is None:
             return AcceptOutcome(is_first=False, error=ErrorKind.NOT_FOUND)
-        record = new_job_record(
+        team = self.configuration_index.team_by_key.get(command.key)
+        record = JobRecord(
             command.id,
-            command.queue,
-            command.team,
+            queue.name,
+            command.team if team is None else team.name,
             command.spec,
             command.accepted_at,
+            new_steps(command.spec),
+            place=queue.place,
+            key=command.key,
         )
         self._data.job_by_id[command.id] = record
-        self._change_unstarted_count(record, 1)
+        self._unstarted_jobs.add(record)
         self._update_waiting_steps(record)
         return AcceptOutcome(is_first=True)
 
@@ -327,12 +349,14 @@
         """
         if command.configuration.version <= self._data.configuration.version:
             return False
-        self._data.configuration = command.configuration
+        changes = adopt_configuration(self._data, command.configuration)
         self._data.configuration_source = command.source
-        self.configuration_index = ConfigurationIndex(command.configuration)
+        self._allocations.rename_teams(changes.team_by_former)
+        self.configuration_index = self._data.index()
+        self._unstarted_jobs = UnstartedJobs(self._data.job_by_id.values())
+        self._effects.append(commands.ConfigurationAdopted(changes))
         for record in self._data.job_by_id.values():
-            queue = self.configuration_index.queue_by_name.get(record.queue)
-            if has_exhausted_task(record, queue):
+            if has_exhausted_task(record, self.queue_of(record)):
                 self._finish_job(
                     record,
                     JobState.FAILED,
@@ -357,26 +381,26 @@
         ]
         for job in expired_jobs:
             self._data.job_by_id.pop(job)
+        former = self._data.former
+        forget_unused_policies(self._data)
+        if self._data.former != former:
+            self.configuration_index = self._data.index()
         return len(expired_jobs)
 
     # Helpers.
 
     def _rebuild_derived(self) -> None:
-        self.configuration_index = ConfigurationIndex(self._data.configuration)
+        self.configuration_index = self._data.index()
         self._waiting_steps: dict[StepKey, None] = {}
-        self._allocations = AllocationLedger(self._data.worker_by_id)
-        self._unstarted_count_by_queue: dict[QueueName, int] = {}
+        self._allocations: AllocationLedger = AllocationLedger(
+            self._data.worker_by_id
+        )
+        self._unstarted_jobs = UnstartedJobs(self._data.job_by_id.values())
         for record in self._data.job_by_id.values():
-            if record.state is JobState.QUEUED:
-                self._change_unstarted_count(record, 1)
             self._update_waiting_steps(record)
             for key in step_keys(record):
                 self._allocations.restore(record, key)
 
-    def _change_unstarted_count(self, record: JobRecord, change: int) -> None:
-        count = self.count_unstarted_jobs(record.queue) + change
-        self._unstarted_count_by_queue[record.queue] = count
-
     def _update_waiting_steps(self, record: JobRecord) -> None:
         for key in step_keys(record):
             self._update_waiting_step(record, key)
@@ -405,8 +429,8 @@
             record.step(key),
         )
         if record.state is JobState.QUEUED:
+            self._unstarted_jobs.remove(record)
             record.state = JobState.ACTIVE
-            self._change_unstarted_count(record, -1)
         self._update_waiting_step(record, key)
         self._effects.append(commands.AttemptScheduled(start, term))
 
@@ -526,8 +550,7 @@
     def _fail_job_if_hopeless(
         self, record: JobRecord, result: commands.AttemptResult, ended_at: float
     ) -> None:
-        queue = self.configuration_index.queue_by_name.get(record.queue)
-        reason = count_against_task(record, result, queue)
+        reason = count_against_task(record, result, self.queue_of(record))
         if reason is not None:
             self._finish_job(record, JobState.FAILED, ended_at, reason)
 
@@ -538,8 +561,7 @@
         finished_at: float,
         reason: commands.FailureReason | None = None,
     ) -> None:
-        if record.state is JobState.QUEUED:
-            self._change_unstarted_count(record, -1)
+        self._unstarted_jobs.remove(record)
         record.state = state
         record.finished_at = finished_at
         self._effects.append(
--- a/libs/workflows/src/cassiahold/workflows/urgency.py
+++ b/libs/workflows/src/cassiahold/workflows/urgency.py
@@ -122,9 +122,7 @@
         estimate_by_job: dict[JobId, DeadlineEstimate] = {}
         for key in self._state.waiting_steps():
             record = self._state.job_by_id[key.job]
-            queue = self._state.configuration_index.queue_by_name.get(
-                record.queue
-            )
+            queue = self._state.queue_of(record)
             if queue is None:
                 continue
             due_at = record.spec.due_at(key.occurrence)
--- a/programs/cell/src/cassiahold/cell/service.py
+++ b/programs/cell/src/cassiahold/cell/service.py
@@ -243,7 +243,13 @@
                 'letters, digits, hyphens and underscores',
             )
         command = commands.AcceptJob(
-            job, queue.name, team, request.spec, time.time()
+            job,
+            queue.name,
+            team,
+            request.spec,
+            time.time(),
+            queue.place,
+            '' if team == ANONYMOUS_TEAM else request.key,
         )
         return propose(
             command, lambda outcome: self._reply_accepted(job, outcome)
@@ -257,17 +263,15 @@
         team = self._authenticate(queue, request.key)
         if request.path == queue.prefix:
             return requests.QueueLength(
-                self.state.count_unstarted_jobs(queue.name)
+                self.state.count_unstarted_jobs(queue.place)
             )
-        return requests.JobStatus(
-            self._find_job(queue, team, request.path).state
-        )
+        return requests.JobStatus(self._find_job(queue, team, request).state)
 
     def cancel_job(self, request: requests.CancelWork) -> Proposal:
         """Propose to cancel a job."""
         queue = self._find_queue(request.host, request.path)
         team = self._authenticate(queue, request.key)
-        job = self._find_job(queue, team, request.path).id
+        job = self._find_job(queue, team, request).id
         command = commands.CancelJob(job, time.time())
         return propose(command, lambda _: self._reply_cancelled(job))
 
@@ -310,7 +314,7 @@
         self._metrics.incr(f'accepted.{record.queue}')
         self._metrics.gauge(
             f'untouched.{record.queue}',
-            self.state.count_unstarted_jobs(record.queue),
+            self.state.count_unstarted_jobs(record.place),
         )
         return requests.JobAccepted(outcome.is_first)
 
@@ -349,21 +353,37 @@
         )
 
     def _find_job(
-        self, queue: QueuePolicy, team: TeamName, path: str
+        self,
+        queue: QueuePolicy,
+        team: TeamName,
+        request: requests.GetWork | requests.CancelWork,
     ) -> JobRecord:
-        job = _job_id(queue, path)
+        job = _job_id(queue, request.path)
         record = self.state.job_by_id.get(job)
-        if record is None or record.queue != queue.name:
-            raise CassiaholdError(
-                ErrorKind.JOB_UNKNOWN, f'job {job!r} does not exist'
-            )
-        if not queue.is_public and team != record.team:
+        if record is None or not _may_access(record, queue, team, request.key):
             raise CassiaholdError(
-                ErrorKind.JOB_UNKNOWN, f'team {team!r} has no job {job!r}'
+                ErrorKind.JOB_UNKNOWN,
+                f'job {job!r} does not exist for team {team!r}',
             )
         return record
 
 
+def _may_access(
+    record: JobRecord, queue: QueuePolicy, team: TeamName, key: str
+) -> bool:
+    """Tell whether a caller with a configured key or none may see a job.
+
+    Ids are unique in the cell, so a team reaches its jobs at any queue: also
+    those that it submitted at a place that another queue has by now, or with a
+    key that another team has by now.
+    """
+    if queue.is_public and record.place == queue.place:
+        return True
+    if team == ANONYMOUS_TEAM:
+        return False
+    return team == record.team or key == record.key
+
+
 def propose(
     command: commands.Command,
     make_reply: typing.Callable[[typing.Any], typing.Any],
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -20,6 +20,7 @@
 from cassiahold.workflows import commands
 from cassiahold.workflows.advisor_replies import AdvisorReplyCache
 from cassiahold.workflows.health import HealthTracker
+from cassiahold.workflows.identities import IdentityChanges
 from cassiahold.workflows.model import WorkerInfo
 from cassiahold.workflows.state import WorkflowState
 from cassiahold.workflows.timelines import JobTimelines
@@ -118,6 +119,9 @@
 
     def handle_effect(self, effect: commands.Effect, now: float) -> None:
         """Act on the effect of an applied command."""
+        if isinstance(effect, commands.ConfigurationAdopted):
+            _log_identity_changes(effect.changes)
+            return
         if isinstance(effect, commands.AttemptScheduled):
             if effect.term == self._term:
                 self.starts.send_start(effect.start, now)
@@ -237,3 +241,22 @@
             self.ends.record_next_incarnation(previous_session)
         self._sessions.open(info, now)
         self.ends.forget(info.id)
+
+
+def _log_identity_changes(changes: IdentityChanges) -> None:
+    if not changes:
+        return
+    removed = changes.removed
+    logs.info(
+        'queues_followed',
+        moved=' '.join(
+            f'{former.host}{former.prefix}:{place.host}{place.prefix}'
+            for former, place in changes.place_by_former.items()
+        ),
+        renamed_teams=' '.join(
+            f'{former}:{team}'
+            for former, team in changes.team_by_former.items()
+        ),
+        removed_queues=' '.join(queue.name for queue in removed.queues),
+        removed_teams=' '.join(team.name for team in removed.teams),
+    )
