Count a job as begun only when a worker has begun one of its tasks

Cause: a job left the count and became active when a start was planned, and stayed so when that start was refused, got no reply or was not sent.

UnstartedJobs is the one place that derives both from what has begun.

Three tests expected a job to be active before its beginning was stored; they now check that it is queued until then, or let the leader store it.

--- a/libs/workflows/src/cassiahold/workflows/commands.py
+++ b/libs/workflows/src/cassiahold/workflows/commands.py
@@ -100,6 +100,7 @@
     have left, and those in ``replying`` replied to a poll, so that another
     incarnation of the worker with which attempts were lost has crashed.
     ``late_results`` are ends of attempts that were given up as lost before.
+    Workers have begun a task of each job in ``begun_jobs``.
     All are part of this command since earlier versions can read it.
     """
 
@@ -114,6 +115,7 @@
     late_results: tuple[AttemptResult, ...] = msgspec.field(
         name='late', default=()
     )
+    begun_jobs: tuple[JobId, ...] = msgspec.field(name='begun', default=())
 
 
 class RegisterWorker(msgspec.Struct, frozen=True, tag='worker'):
--- a/libs/workflows/src/cassiahold/workflows/late_ends.py
+++ b/libs/workflows/src/cassiahold/workflows/late_ends.py
@@ -10,7 +10,6 @@
     AttemptKey,
     AttemptOutcome,
     JobRecord,
-    TaskKey,
     TaskRecord,
 )
 
@@ -30,9 +29,12 @@
     """Tell whether an end that is told late would still count."""
     if record is None or not record.is_open:
         return False
-    task = _find_task(record, attempt.task)
+    task = record.find_task(attempt.task)
     if task is None or task.is_done:
         return False
+    if record.spec.steps[attempt.task.step.step_index].is_long_running:
+        # It always runs again.
+        return False
     if outcome is AttemptOutcome.DONE:
         # No end as done of the task has been counted yet.
         active = task.active_attempt
@@ -49,23 +51,6 @@
     )
 
 
-def _find_task(record: JobRecord, key: TaskKey) -> TaskRecord | None:
-    """Return a task unless it always runs again.
-
-    Returns None, too, for a name that a worker lists and the job does not
-    have: an exception would end the polls of that worker.
-    """
-    step_key = key.step
-    if not 0 <= step_key.occurrence < len(record.steps_by_occurrence):
-        return None
-    if not 0 <= step_key.step_index < len(record.spec.steps):
-        return None
-    tasks = record.step(step_key).tasks
-    if record.spec.steps[step_key.step_index].is_long_running:
-        return None
-    return tasks[key.task_index] if 0 <= key.task_index < len(tasks) else None
-
-
 def replaced_attempts(
     record: JobRecord, attempt: AttemptKey
 ) -> list[AttemptKey]:
--- a/libs/workflows/src/cassiahold/workflows/model.py
+++ b/libs/workflows/src/cassiahold/workflows/model.py
@@ -17,7 +17,10 @@
 
 
 class JobState(enum.Enum):
-    """State of a job; the last three are final."""
+    """State of a job; the last three are final.
+
+    A job is ``QUEUED`` until a worker has begun one of its tasks.
+    """
 
     QUEUED = 'queued'
     ACTIVE = 'active'
@@ -218,6 +221,21 @@
         """Return the state of a step."""
         return self.steps_by_occurrence[key.occurrence][key.step_index]
 
+    def find_task(self, key: TaskKey) -> TaskRecord | None:
+        """Return the state of a task, None for one that the job lacks.
+
+        Workers may list any name.
+        """
+        step_key = key.step
+        if not 0 <= step_key.occurrence < len(self.steps_by_occurrence):
+            return None
+        if not 0 <= step_key.step_index < len(self.spec.steps):
+            return None
+        tasks = self.step(step_key).tasks
+        return (
+            tasks[key.task_index] if 0 <= key.task_index < len(tasks) else None
+        )
+
     def is_step_ready(self, key: StepKey) -> bool:
         """Tell whether every step that this one depends on is done."""
         steps = self.steps_by_occurrence[key.occurrence]
--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -145,7 +145,7 @@
         return list(self._waiting_steps)
 
     def count_unstarted_jobs(self, place: QueuePlace | None) -> int:
-        """Return how many accepted jobs of a queue have not started."""
+        """Return how many accepted jobs of a queue have not begun."""
         return self._unstarted_jobs.count(place)
 
     def queue_of(self, record: JobRecord) -> QueuePolicy | None:
@@ -284,6 +284,10 @@
         Results of attempts that have no allocation any more are ignored.
         Returns the attempts that were lost before and count as crashed now.
         """
+        for job in command.begun_jobs:
+            record = self._data.job_by_id.get(job)
+            if record is not None:
+                self._unstarted_jobs.record_begin(record)
         for result in command.results:
             self._end_attempt(result, command.ended_at)
         for result in command.late_results:
@@ -428,9 +432,6 @@
             self.step_spec(key),
             record.step(key),
         )
-        if record.state is JobState.QUEUED:
-            self._unstarted_jobs.remove(record)
-            record.state = JobState.ACTIVE
         self._update_waiting_step(record, key)
         self._effects.append(commands.AttemptScheduled(start, term))
 
@@ -457,6 +458,8 @@
         task.active_attempt = None
         if result.outcome is AttemptOutcome.LOST:
             remember_lost(task, result.attempt.attempt_number)
+        else:
+            self._unstarted_jobs.record_begin(record)
         if result.checkpoint:
             store_checkpoint(record, result)
         if may_have_crashed(record, result):
@@ -481,6 +484,7 @@
             record, result.attempt, result.outcome
         ):
             return
+        self._unstarted_jobs.record_begin(record)
         task = record.step(key).tasks[result.attempt.task.task_index]
         task.lost_attempt_numbers = [
             number
@@ -561,7 +565,7 @@
         finished_at: float,
         reason: commands.FailureReason | None = None,
     ) -> None:
-        self._unstarted_jobs.remove(record)
+        self._unstarted_jobs.record_finish(record)
         record.state = state
         record.finished_at = finished_at
         self._effects.append(
--- a/programs/cell/src/cassiahold/cell/attempt_starts.py
+++ b/programs/cell/src/cassiahold/cell/attempt_starts.py
@@ -9,6 +9,7 @@
 from cassiahold.cell import requests
 from cassiahold.cell.attempt_stopper import AttemptStopper
 from cassiahold.cell.clients import ReplyStatus, StartRequest, WorkerReply
+from cassiahold.cell.job_beginnings import JobBeginnings
 from cassiahold.cell.request_interface import RequestSender
 from cassiahold.cell.session_table import SessionTable
 from cassiahold.cell.worker_ends import WorkerEnds
@@ -42,6 +43,7 @@
         timelines: JobTimelines,
         stopper: AttemptStopper,
         worker_ends: WorkerEnds,
+        beginnings: JobBeginnings,
         metrics: Metrics,
     ) -> None:
         self._state = state
@@ -52,6 +54,7 @@
         self._timelines = timelines
         self._stopper = stopper
         self._worker_ends = worker_ends
+        self._beginnings = beginnings
         self._metrics = metrics
         self._unsent_results: list[commands.AttemptResult] = []
 
@@ -127,6 +130,7 @@
         session.record_clock(reply.clock_ms, now)
         if reply.status is ReplyStatus.DONE:
             session.record_start_confirmed(request.attempt, now)
+            self._beginnings.record(request.attempt)
             self._health.record_start(request.worker, request.attempt, now)
             self._timelines.record_start(request.attempt.task.step.job, now)
             return requests.Acknowledged()
--- a/programs/cell/src/cassiahold/cell/worker_polls.py
+++ b/programs/cell/src/cassiahold/cell/worker_polls.py
@@ -9,6 +9,7 @@
 from cassiahold.cell.attempt_ends import AttemptEnds
 from cassiahold.cell.attempt_stopper import AttemptStopper
 from cassiahold.cell.clients import PollRequest
+from cassiahold.cell.job_beginnings import JobBeginnings
 from cassiahold.cell.request_interface import RequestSender
 from cassiahold.cell.session_table import SessionTable
 from cassiahold.cell.settings import POLL_MAX_WAIT_S
@@ -23,6 +24,7 @@
 from cassiahold.workflows.sessions import (
     EndedAttempt,
     PollFindings,
+    PollReply,
     WorkerSession,
 )
 from cassiahold.workflows.state import WorkflowState
@@ -44,6 +46,7 @@
         stopper: AttemptStopper,
         attempt_ends: AttemptEnds,
         worker_ends: WorkerEnds,
+        beginnings: JobBeginnings,
     ) -> None:
         self._state = state
         self._sessions = sessions
@@ -52,6 +55,7 @@
         self._stopper = stopper
         self._attempt_ends = attempt_ends
         self._worker_ends = worker_ends
+        self._beginnings = beginnings
 
     def first_poll(
         self, request: local.GetFirstPoll, now: float
@@ -125,6 +129,7 @@
         if reply is None:
             return self._next_poll(session, now, max_wait_s=0.0)
         had_replied = session.has_replied
+        self._record_beginnings(reply)
         for running_attempt in reply.running:
             self._attempt_ends.record_checkpoint(
                 running_attempt.attempt, running_attempt.checkpoint
@@ -171,6 +176,12 @@
             ),
         )
 
+    def _record_beginnings(self, reply: PollReply) -> None:
+        for running_attempt in reply.running:
+            self._beginnings.record(running_attempt.attempt)
+        for ended_attempt in reply.ended:
+            self._beginnings.record(ended_attempt.attempt)
+
     def _settle_starts(
         self,
         session: WorkerSession,
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -9,6 +9,7 @@
 from cassiahold.cell.attempt_starts import AttemptStarts
 from cassiahold.cell.attempt_stopper import AttemptStopper
 from cassiahold.cell.heartbeats import HeartbeatTracker
+from cassiahold.cell.job_beginnings import JobBeginnings
 from cassiahold.cell.request_interface import RequestSender
 from cassiahold.cell.session_table import SessionTable
 from cassiahold.cell.settings import CellSettings
@@ -63,6 +64,7 @@
             state, self.health, self.timelines, self._stopper, metrics
         )
         self.ends = WorkerEnds(state, self._sessions, attempt_ends)
+        self._beginnings = JobBeginnings(state)
         self.polls = WorkerPolls(
             state,
             self._sessions,
@@ -71,6 +73,7 @@
             self._stopper,
             attempt_ends,
             self.ends,
+            self._beginnings,
         )
         self.starts = AttemptStarts(
             state,
@@ -81,6 +84,7 @@
             self.timelines,
             self._stopper,
             self.ends,
+            self._beginnings,
             metrics,
         )
 
@@ -114,8 +118,12 @@
         )
 
     def due_commands(self, now: float) -> list[commands.Command]:
-        """Return the commands that end unsent starts and remove workers."""
-        return self.ends.removal_commands(now) + self.starts.due_commands()
+        """Return the commands that follow from ends and beginnings."""
+        return (
+            self.ends.removal_commands(now)
+            + self.starts.due_commands()
+            + self._beginnings.due_commands(now)
+        )
 
     def handle_effect(self, effect: commands.Effect, now: float) -> None:
         """Act on the effect of an applied command."""
--- a/programs/cell/tests/model_cell.py
+++ b/programs/cell/tests/model_cell.py
@@ -153,6 +153,7 @@
     def _beat(self, worker: WorkerId, incarnation: Incarnation) -> None:
         if not incarnation.is_up:
             return
+        self.checker.check_active(self.state_by_job)
         incarnation.sequence += 1
         info = WorkerInfo(
             worker,
--- a/programs/cell/tests/model_invariants.py
+++ b/programs/cell/tests/model_invariants.py
@@ -105,6 +105,13 @@
         if used > capacity:
             self._violate('capacity', f'{used} of {capacity} on {worker}')
 
+    def check_active(self, state_by_job: dict[JobId, JobState]) -> None:
+        """Check that a worker has begun a task of each active job."""
+        begun_jobs = {task.step.job for task in self._started_at_by_task}
+        for job, state in state_by_job.items():
+            if state is JobState.ACTIVE and job not in begun_jobs:
+                self._violate('active before it began', job)
+
     def check_finished(self, state_by_job: dict[JobId, JobState]) -> None:
         for job, state in state_by_job.items():
             if state in {JobState.QUEUED, JobState.ACTIVE}:
--- a/programs/cell/tests/test_late_ends.py
+++ b/programs/cell/tests/test_late_ends.py
@@ -181,6 +181,7 @@
             ),
         )
         assert isinstance(poll, PollRequest)
+    leader.apply_due_commands()
     assert leader.job_state('/q/1') is JobState.ACTIVE
 
 
--- a/programs/cell/tests/test_unanswered_orders.py
+++ b/programs/cell/tests/test_unanswered_orders.py
@@ -117,6 +117,7 @@
     start = lose_start(leader)
     polls.answer(3 * POLL_INTERVAL_S)
     answer_polls(leader, polls, (RunningAttempt(start.attempt, '', 5),))
+    leader.apply_due_commands()
     assert leader.job_state('/q/1') is JobState.ACTIVE
     ended = EndedAttempt(1, start.attempt, AttemptOutcome.DONE, '')
     poll = polls.answer(9 * POLL_INTERVAL_S, ended=(ended,))
--- a/programs/cell/tests/test_worker_sessions.py
+++ b/programs/cell/tests/test_worker_sessions.py
@@ -4,6 +4,7 @@
     CONFIGURATION,
     SPEC,
     LeaderFixture,
+    confirm,
     make_leader,
     submit,
 )
@@ -43,6 +44,9 @@
     leader = make_leader('w')
     submit(leader, '/q/1')
     (start,) = leader.sender.starts
+    assert leader.job_state('/q/1') is JobState.QUEUED
+    confirm(leader, start)
+    leader.apply_due_commands()
     assert leader.job_state('/q/1') is JobState.ACTIVE
     poll = leader.reply_to_poll(
         'w', ended=(EndedAttempt(4, start.attempt, AttemptOutcome.DONE, ''),)
