Ignore the end of an attempt that no worker was told to start

What callers could see: a worker that lists attempt 0 of a task as done completed the task, though it had never started. Found by the property test of the pending jobs.

Cause: a late end as done counted up to the task's highest attempt number, which is 0 before the first start.

The new test of test_late_ends.py failed before.

--- a/libs/workflows/src/cassiahold/workflows/late_ends.py
+++ b/libs/workflows/src/cassiahold/workflows/late_ends.py
@@ -42,9 +42,8 @@
             active is not None
             and active.attempt_number == attempt.attempt_number
         )
-        return (
-            attempt.attempt_number <= task.last_attempt_number and not is_active
-        )
+        was_started = 1 <= attempt.attempt_number <= task.last_attempt_number
+        return was_started and not is_active
     return (
         outcome is AttemptOutcome.FAILED
         and attempt.attempt_number in task.lost_attempt_numbers
--- a/libs/workflows/tests/test_unstarted_jobs.py
+++ b/libs/workflows/tests/test_unstarted_jobs.py
@@ -91,7 +91,7 @@
         elif action == 'cancel':
             self.cell.apply(commands.CancelJob(JobId(job), 1.0))
             self._remove(job)
-        elif self._attempt_by_job[job]:
+        else:
             self._end(job, attempt, action)
 
     def _end(
--- a/programs/cell/src/cassiahold/cell/job_beginnings.py
+++ b/programs/cell/src/cassiahold/cell/job_beginnings.py
@@ -33,7 +33,7 @@
             return
         task = self._state.job_by_id[job].find_task(attempt.task)
         if task is not None and (
-            attempt.attempt_number <= task.last_attempt_number
+            1 <= attempt.attempt_number <= task.last_attempt_number
         ):
             self._jobs[job] = None
 
--- a/programs/cell/tests/test_late_ends.py
+++ b/programs/cell/tests/test_late_ends.py
@@ -162,6 +162,20 @@
     assert isinstance(answer, local.SessionClosed)
 
 
+def test_end_of_an_attempt_that_was_never_started_is_ignored() -> None:
+    # An attempt number 0 completed a task that no worker had started.
+    leader = make_leader('w')
+    submit(leader, '/q/1')
+    (start,) = leader.sender.starts
+    refuse_start(leader, start)
+    for number in (0, 2):
+        attempt = AttemptKey(start.attempt.task, number)
+        leader.reply_to_poll(
+            'w', ended=(EndedAttempt(1, attempt, AttemptOutcome.DONE, ''),)
+        )
+        assert leader.job_state('/q/1') is JobState.QUEUED
+
+
 def test_end_of_a_task_that_its_job_does_not_have_is_ignored() -> None:
     leader = make_leader('w')
     submit(leader, '/q/1')
--- a/programs/cell/tests/test_pending_jobs.py
+++ b/programs/cell/tests/test_pending_jobs.py
@@ -122,6 +122,7 @@
     start = start_job(leader)
     task = start.attempt.task
     for attempt in (
+        AttemptKey(task, 0),
         AttemptKey(task, 2),
         AttemptKey(TaskKey(task.step, 1), 1),
     ):
