Look at the tasks of a step once for each command

Cause: each attempt that a command starts or ends looked at all tasks of its step, so a command cost tasks times attempts.

The waiting steps are a class of their own now.

--- a/libs/workflows/src/cassiahold/workflows/state.py
+++ b/libs/workflows/src/cassiahold/workflows/state.py
@@ -56,13 +56,14 @@
     encode_snapshot,
 )
 from cassiahold.workflows.start_checks import can_start_group
-from cassiahold.workflows.steps import has_startable_tasks, step_keys
+from cassiahold.workflows.steps import step_keys
 from cassiahold.workflows.stops import (
     gang_stops,
     job_stops,
     replacement_stops,
 )
 from cassiahold.workflows.unstarted_jobs import UnstartedJobs
+from cassiahold.workflows.waiting_steps import WaitingSteps
 
 _ABORTED_STATES: typing.Final = frozenset((JobState.FAILED, JobState.CANCELLED))
 
@@ -142,7 +143,7 @@
 
     def waiting_steps(self) -> list[StepKey]:
         """Return the steps that are ready and have a task to start."""
-        return list(self._waiting_steps)
+        return self._waiting_steps.keys()
 
     def count_unstarted_jobs(self, place: QueuePlace | None) -> int:
         """Return how many accepted jobs of a queue have not begun."""
@@ -217,7 +218,9 @@
 
     def apply(self, payload: bytes) -> typing.Any:
         """Apply one encoded command of the log and return its outcome."""
-        return apply_command(commands.decode_command(payload), self)
+        outcome = apply_command(commands.decode_command(payload), self)
+        self._waiting_steps.update()
+        return outcome
 
     def snapshot(self) -> bytes:
         """Return the encoded replicated data."""
@@ -253,7 +256,7 @@
         )
         self._data.job_by_id[command.id] = record
         self._unstarted_jobs.add(record)
-        self._update_waiting_steps(record)
+        self._waiting_steps.mark_job(record)
         return AcceptOutcome(is_first=True)
 
     def cancel_job(self, command: commands.CancelJob) -> bool:
@@ -395,27 +398,21 @@
 
     def _rebuild_derived(self) -> None:
         self.configuration_index = self._data.index()
-        self._waiting_steps: dict[StepKey, None] = {}
+        self._waiting_steps = WaitingSteps(
+            self._data.job_by_id, self._record_closed_step
+        )
         self._allocations: AllocationLedger = AllocationLedger(
             self._data.worker_by_id
         )
         self._unstarted_jobs = UnstartedJobs(self._data.job_by_id.values())
         for record in self._data.job_by_id.values():
-            self._update_waiting_steps(record)
+            self._waiting_steps.mark_job(record)
             for key in step_keys(record):
                 self._allocations.restore(record, key)
+        self._waiting_steps.update()
 
-    def _update_waiting_steps(self, record: JobRecord) -> None:
-        for key in step_keys(record):
-            self._update_waiting_step(record, key)
-
-    def _update_waiting_step(self, record: JobRecord, key: StepKey) -> None:
-        if record.is_open and has_startable_tasks(record, key):
-            self._waiting_steps[key] = None
-            return
-        self._waiting_steps.pop(key, None)
-        if not record.is_open or not record.step(key).remaining_tasks:
-            self._effects.append(commands.StepClosed(key))
+    def _record_closed_step(self, key: StepKey) -> None:
+        self._effects.append(commands.StepClosed(key))
 
     def _start_attempt(self, start: commands.AttemptStart, term: int) -> None:
         key = start.attempt.task.step
@@ -432,7 +429,7 @@
             self.step_spec(key),
             record.step(key),
         )
-        self._update_waiting_step(record, key)
+        self._waiting_steps.mark(key)
         self._effects.append(commands.AttemptScheduled(start, term))
 
     def _end_attempt(
@@ -473,7 +470,7 @@
                 )
             )
         self._apply_result(record, result, ended_at)
-        self._update_waiting_step(record, key)
+        self._waiting_steps.mark(key)
 
     def _count_late_end(
         self, result: commands.AttemptResult, ended_at: float
@@ -496,7 +493,7 @@
             self._complete_task(record, result, ended_at)
         else:
             self._fail_job_if_hopeless(record, result, ended_at)
-        self._update_waiting_step(record, key)
+        self._waiting_steps.mark(key)
 
     def _record_departure(self, key: IncarnationKey) -> None:
         self._data.lost_attempts.forget_incarnation(key)
@@ -547,7 +544,7 @@
             for steps in record.steps_by_occurrence
             for step in steps
         ):
-            self._update_waiting_steps(record)
+            self._waiting_steps.mark_job(record)
         else:
             self._finish_job(record, JobState.COMPLETE, ended_at)
 
@@ -573,6 +570,6 @@
                 record.id, state, finished_at - record.accepted_at, reason
             )
         )
-        self._update_waiting_steps(record)
+        self._waiting_steps.mark_job(record)
         if state is not JobState.COMPLETE:
             self._effects.extend(job_stops(record))
--- a/libs/workflows/tests/test_state.py
+++ b/libs/workflows/tests/test_state.py
@@ -1,5 +1,7 @@
 """Tests of the replicated state: jobs, workers and configuration."""
 
+from unittest import mock
+
 import msgspec
 from state_fixtures import (
     BIG,
@@ -14,7 +16,7 @@
 
 from cassiahold.core.ids import WorkerId
 from cassiahold.core.testing import function_tests
-from cassiahold.workflows import commands
+from cassiahold.workflows import commands, waiting_steps
 from cassiahold.workflows.configuration import QueuePolicy
 from cassiahold.workflows.model import (
     AttemptKey,
@@ -33,6 +35,31 @@
     assert cell.state.count_unstarted_jobs(cell.job('j').place) == 1
 
 
+def test_command_looks_once_at_the_tasks_of_each_step() -> None:
+    # Each attempt looked at all tasks of its step, so that a large job took
+    # the leader longer than its lease.
+    cell = StateFixture('w')
+    cell.submit('j', step_spec(4), step_spec(4))
+    attempts = [
+        attempt_key('j', step, task) for step in (0, 1) for task in (0, 1)
+    ]
+    with mock.patch.object(
+        waiting_steps,
+        'has_startable_tasks',
+        wraps=waiting_steps.has_startable_tasks,
+    ) as look:
+        assert cell.start(*((attempt, 'w') for attempt in attempts)) == 4
+        assert look.call_count == 2
+        look.reset_mock()
+        ends = [
+            commands.AttemptResult(attempt, WorkerId('w'), AttemptOutcome.DONE)
+            for attempt in attempts
+        ]
+        cell.apply(commands.EndAttempts(ends, 1.0))
+        assert look.call_count == 2
+    assert len(cell.state.waiting_steps()) == 2
+
+
 def test_step_waits_for_all_tasks_of_its_dependencies() -> None:
     cell = StateFixture('w')
     cell.submit('j', step_spec(2), step_spec(1, depends_on=(0,)))
