Judge the progress of a task by its own pace

Cause: an attempt whose whole percents stood still for 2 s counted as stalled; between two percents any task of more than 200 s does.

The timeout follows from the estimate and from the slowest percent seen, doubles for a task whose attempts stall, and is 2 s as before for tasks of up to 25 s. A worker on which two jobs stall while nothing makes progress loses its long tasks at once. Only the first stall of a task blames a worker.

--- a/libs/workflows/src/cassiahold/workflows/health.py
+++ b/libs/workflows/src/cassiahold/workflows/health.py
@@ -13,7 +13,17 @@
 import msgspec
 
 from cassiahold.core.ids import JobId, WorkerId
-from cassiahold.workflows.model import AttemptKey, AttemptOutcome, WorkerInfo
+from cassiahold.workflows.model import (
+    AttemptKey,
+    AttemptOutcome,
+    StepKey,
+    WorkerInfo,
+)
+from cassiahold.workflows.progress import (
+    MIN_STALL_TIMEOUT_S,
+    AttemptProgress,
+    StallTimeouts,
+)
 
 RETRY_AVOIDANCE_S: typing.Final = 2.0  # other workers are preferred this long
 RETRY_PAUSE_S: typing.Final = 1.0  # no retry on the same worker this long
@@ -24,8 +34,10 @@
 MAX_START_PAUSE_S: typing.Final = 8.0
 # Of the workers of a service that could get work otherwise.
 MAX_QUARANTINED_SHARE: typing.Final = 0.5
-STALL_TIMEOUT_S: typing.Final = 2.0  # without progress
-COMPLETE_PERCENT: typing.Final = 100
+# Attempts of so many jobs that stall on a worker within this time, with no
+# progress of another one, show that the worker hangs.
+HANGING_JOBS: typing.Final = 2
+HANGING_WINDOW_S: typing.Final = 5.0
 
 
 class _Health(msgspec.Struct):
@@ -34,6 +46,7 @@
     quarantined_until: float = 0.0
     next_quarantine_s: float = INITIAL_QUARANTINE_S
     next_start_pause_s: float = INITIAL_START_PAUSE_S
+    stalled_at_by_job: dict[JobId, float] = msgspec.field(default_factory=dict)
 
 
 class _Placement(typing.NamedTuple):
@@ -41,14 +54,6 @@
     worker: WorkerId
 
 
-class _Progress(msgspec.Struct):
-    worker: WorkerId
-    started_at: float
-    percent: int
-    progressed_at: float
-    is_start_known: bool = True
-
-
 class HealthTracker:
     """Health of each worker as observed by the current leader.
 
@@ -57,8 +62,9 @@
 
     def __init__(self) -> None:
         self._health_by_worker: dict[WorkerId, _Health] = {}
-        self._progress_by_attempt: dict[AttemptKey, _Progress] = {}
+        self._progress_by_attempt: dict[AttemptKey, AttemptProgress] = {}
         self._failed_at_by_placement: dict[_Placement, float] = {}
+        self._stall_timeouts = StallTimeouts()
 
     def is_unreliable(self, worker: WorkerId) -> bool:
         """Tell whether attempts failed or stalled since a success."""
@@ -108,7 +114,7 @@
         """Record that a worker confirmed the start of an attempt."""
         self._health_of(worker).next_start_pause_s = INITIAL_START_PAUSE_S
         self._progress_by_attempt.setdefault(
-            attempt, _Progress(worker, now, 0, now)
+            attempt, AttemptProgress(worker, now, 0, now)
         )
 
     def record_unanswered_start(self, worker: WorkerId, now: float) -> float:
@@ -134,37 +140,65 @@
         progress = self._progress_by_attempt.get(attempt)
         if progress is None:
             # The attempt may have started long ago under an earlier leader.
-            self._progress_by_attempt[attempt] = _Progress(
+            self._progress_by_attempt[attempt] = AttemptProgress(
                 worker, now, percent, now, is_start_known=False
             )
-        elif percent != progress.percent:
-            progress.percent = percent
-            progress.progressed_at = now
+        elif progress.record(percent, now):
+            self._health_of(worker).stalled_at_by_job.clear()
+
+    def is_stalled(
+        self, attempt: AttemptKey, expected_s: float, now: float
+    ) -> bool:
+        """Tell whether an attempt has made no progress for too long.
 
-    def is_stalled(self, attempt: AttemptKey, now: float) -> bool:
-        """Tell whether an attempt has made no progress for too long."""
+        That is sooner on a worker on which several jobs have just stalled.
+        """
         progress = self._progress_by_attempt.get(attempt)
-        if progress is None or progress.percent >= COMPLETE_PERCENT:
+        if progress is None:
             return False
-        return now >= progress.progressed_at + STALL_TIMEOUT_S
+        if self._is_hanging(progress.worker, now):
+            return progress.is_still(MIN_STALL_TIMEOUT_S, now)
+        return self._is_still(attempt, expected_s, now)
 
     def is_gang_stalled(
-        self, members: typing.Iterable[AttemptKey], now: float
+        self,
+        members: typing.Iterable[AttemptKey],
+        expected_s: float,
+        now: float,
     ) -> bool:
         """Tell whether a running gang has made no progress for too long.
 
         A gang works only once all its members are present, so one with a
         member that has not started is waiting, not stalled.
         """
-        progress_by_member = [
-            self._progress_by_attempt.get(member) for member in members
-        ]
         return all(
-            progress is not None
-            and progress.percent < COMPLETE_PERCENT
-            and now >= progress.progressed_at + STALL_TIMEOUT_S
-            for progress in progress_by_member
+            self._is_still(member, expected_s, now) for member in members
+        )
+
+    def _is_still(
+        self, attempt: AttemptKey, expected_s: float, now: float
+    ) -> bool:
+        progress = self._progress_by_attempt.get(attempt)
+        if progress is None:
+            return False
+        timeout_s = self._stall_timeouts.timeout_s(
+            attempt.task, progress, expected_s
+        )
+        return progress.is_still(timeout_s, now)
+
+    def _is_hanging(self, worker: WorkerId, now: float) -> bool:
+        health = self._health_by_worker.get(worker)
+        if health is None:
+            return False
+        recent_count = sum(
+            now < stalled_at + HANGING_WINDOW_S
+            for stalled_at in health.stalled_at_by_job.values()
         )
+        return recent_count >= HANGING_JOBS
+
+    def forget_step(self, step: StepKey) -> None:
+        """Forget a step of which no task will start any more."""
+        self._stall_timeouts.forget_step(step)
 
     def record_stalled_gang(
         self, worker: WorkerId, attempt: AttemptKey, now: float
@@ -174,13 +208,32 @@
         It is not known which member's worker stands still, so none of them
         is quarantined.
         """
+        self._mark_stalled(attempt)
         self._record_failure(_Placement(attempt.task.step.job, worker), now)
 
-    def quarantine_for_stall(self, worker: WorkerId, now: float) -> None:
-        """Quarantine a worker on which an attempt has stalled."""
-        health = self._health_of(worker)
-        health.failed_at = now
-        self._quarantine(health, now)
+    def record_stall(
+        self, worker: WorkerId, attempt: AttemptKey, now: float
+    ) -> None:
+        """Record that an attempt has stalled and quarantine its worker.
+
+        A task that has stalled before tells nothing of the worker: it may be
+        slower than its caller has estimated.
+        """
+        has_stalled_before = self._stall_timeouts.count_stalls(attempt.task)
+        self._mark_stalled(attempt)
+        if not has_stalled_before:
+            health = self._health_of(worker)
+            health.stalled_at_by_job[attempt.task.step.job] = now
+            health.failed_at = now
+            self._quarantine(health, now)
+
+    def _mark_stalled(self, attempt: AttemptKey) -> None:
+        """Count the stall of an attempt once."""
+        progress = self._progress_by_attempt.get(attempt)
+        if progress is None or not progress.has_stalled:
+            self._stall_timeouts.record_stall(attempt)
+        if progress is not None:
+            progress.has_stalled = True
 
     def attempt_duration_s(self, attempt: AttemptKey, now: float) -> float:
         """Return how long an attempt has run, 0 if its start was not seen."""
--- a/programs/cell/src/cassiahold/cell/attempt_stopper.py
+++ b/programs/cell/src/cassiahold/cell/attempt_stopper.py
@@ -84,11 +84,13 @@
 
     def _is_stalled(self, attempt: AttemptKey, now: float) -> bool:
         spec = self._state.step_spec(attempt.task.step)
-        if spec.is_long_running or not self._health.is_stalled(attempt, now):
+        if spec.is_long_running or not self._health.is_stalled(
+            attempt, spec.expected_s, now
+        ):
             return False
         # None for a task that is not a member of a gang.
         members = self._state.gang_members(attempt)
-        return self._health.is_gang_stalled(members, now)
+        return self._health.is_gang_stalled(members, spec.expected_s, now)
 
     def _record_stall(
         self, attempt: AttemptKey, worker: WorkerId, now: float
@@ -96,4 +98,4 @@
         if self._state.step_spec(attempt.task.step).is_gang:
             self._health.record_stalled_gang(worker, attempt, now)
         else:
-            self._health.quarantine_for_stall(worker, now)
+            self._health.record_stall(worker, attempt, now)
--- a/programs/cell/src/cassiahold/cell/worker_sessions.py
+++ b/programs/cell/src/cassiahold/cell/worker_sessions.py
@@ -137,6 +137,7 @@
             self._stopper.stop(effect.attempt, effect.worker, effect.reason)
         elif isinstance(effect, commands.StepClosed):
             self._advisor_replies.forget_step(effect.step)
+            self.health.forget_step(effect.step)
         elif isinstance(effect, commands.JobFinished):
             self._record_finished_job(effect)
         else:
