Reserve no room for a gang that waits for long-running tasks

Cause: a waiting gang reserves room unless it could never fit, and that check took workers as empty on which long-running tasks stay for good.

What they occupy now counts as taken.

--- a/libs/workflows/src/cassiahold/workflows/available_workers.py
+++ b/libs/workflows/src/cassiahold/workflows/available_workers.py
@@ -213,14 +213,21 @@
 
 
 def would_fit(
-    candidate: Candidate, workers: typing.Iterable[WorkerRecord]
+    candidate: Candidate,
+    workers: typing.Iterable[WorkerRecord],
+    occupied_by_worker: typing.Mapping[WorkerId, Resources] | None = None,
 ) -> bool:
-    """Tell whether a step would fit on some workers if all was free.
+    """Tell whether a step would fit on some workers if the rest was free.
 
-    One task or a whole gang has to fit.
+    One task or a whole gang has to fit beside what is occupied for good.
     """
+    occupied = occupied_by_worker or {}
     fitting_count = sum(
-        _count_fitting_if_free(candidate, worker.info)
+        _count_fitting_beside(
+            candidate,
+            worker.info,
+            occupied.get(worker.info.id, NO_RESOURCES),
+        )
         for worker in workers
         if is_eligible(candidate, worker.info)
     )
@@ -228,9 +235,11 @@
     return fitting_count >= required_count
 
 
-def _count_fitting_if_free(candidate: Candidate, worker: WorkerInfo) -> int:
+def _count_fitting_beside(
+    candidate: Candidate, worker: WorkerInfo, occupied: Resources
+) -> int:
     spec = candidate.spec
-    fitting_count = count_fitting(spec.resources, worker.capacity)
+    fitting_count = count_fitting(spec.resources, worker.capacity - occupied)
     if spec.max_tasks_per_worker:
         return min(fitting_count, spec.max_tasks_per_worker)
     return fitting_count
--- a/libs/workflows/src/cassiahold/workflows/gang_placement.py
+++ b/libs/workflows/src/cassiahold/workflows/gang_placement.py
@@ -4,9 +4,9 @@
 workers against less urgent work, so that a stream of small tasks does not
 starve it.  Other waiting gangs reserve nothing: with several gangs that each
 reserve a part of what they need the cell would be idle while none of them can
-start.  Nor does a gang that would not fit if all was free.  Once the free
-resources of a gang's allowed workers suffice, they stay reserved while its
-tickets are renewed.
+start.  Nor does a gang that would not fit once all that ends has ended.  Once
+the free resources of a gang's allowed workers suffice, they stay reserved while
+its tickets are renewed.
 """
 
 import bisect
@@ -14,6 +14,7 @@
 import math
 import typing
 
+from cassiahold.core.resources import NO_RESOURCES, Resources
 from cassiahold.workflows.advisor_queries import AdvisorQueries
 from cassiahold.workflows.advisor_replies import AdvisorReplyCache
 from cassiahold.workflows.available_workers import (
@@ -24,6 +25,7 @@
     would_fit,
 )
 from cassiahold.workflows.crashes import is_suspect
+from cassiahold.workflows.model import WorkerRecord
 from cassiahold.workflows.placement import Placement
 from cassiahold.workflows.state import WorkflowState
 from cassiahold.workflows.suspect_placement import SuspectPlacement
@@ -184,10 +186,31 @@
     state: WorkflowState,
     advisor_replies: AdvisorReplyCache,
 ) -> bool:
-    """Tell whether a gang would fit on the workers that no advisor denies."""
-    workers = (
+    """Tell whether a gang would fit on the workers that no advisor denies.
+
+    What runs there has to end for it, but long-running tasks stay.
+    """
+    workers = [
         worker
         for worker in state.worker_by_id.values()
         if not advisor_replies.is_denied(candidate.key, worker.info.id)
+    ]
+    return would_fit(
+        candidate,
+        workers,
+        {
+            worker.info.id: _lasting_resources(worker, state)
+            for worker in workers
+        },
     )
-    return would_fit(candidate, workers)
+
+
+def _lasting_resources(worker: WorkerRecord, state: WorkflowState) -> Resources:
+    """Return what long-running tasks of open jobs occupy on a worker."""
+    occupied = NO_RESOURCES
+    for attempt, resources in worker.resources_by_attempt.items():
+        step = attempt.task.step
+        is_lasting = state.step_spec(step).is_long_running
+        if is_lasting and state.job_by_id[step.job].is_open:
+            occupied += resources
+    return occupied
--- a/libs/workflows/tests/test_planning.py
+++ b/libs/workflows/tests/test_planning.py
@@ -14,9 +14,10 @@
     step_spec,
 )
 
-from cassiahold.core.ids import QueueName, WorkerId
+from cassiahold.core.ids import JobId, QueueName, WorkerId
 from cassiahold.core.resources import Resources
 from cassiahold.core.testing import function_tests
+from cassiahold.workflows import commands
 from cassiahold.workflows.advisor_replies import AdvisorReply, AdvisorReplyCache
 from cassiahold.workflows.health import HealthTracker
 from cassiahold.workflows.model import AttemptOutcome
@@ -247,6 +248,21 @@
         assert len(plan(cell, now=0.6).start_groups) == 8
 
 
+def test_gang_that_waits_for_long_running_tasks_reserves_nothing() -> None:
+    # It kept the other workers idle for good.
+    for is_cancelled in (False, True):
+        cell = StateFixture('w', 'x')
+        cell.submit('service', step_spec(1, is_long_running=True))
+        cell.start((attempt_key('service', 0, 0), 'w'))
+        cell.submit('gang', step_spec(8, is_gang=True))
+        cell.submit('small', step_spec(2), accepted_at=0.5)
+        if is_cancelled:
+            # Its room becomes free.
+            cell.apply(commands.CancelJob(JobId('service'), 0.5))
+        starts = plan(cell, now=0.6).start_groups
+        assert len(starts) == (0 if is_cancelled else 2)
+
+
 def test_gang_without_enough_allowed_workers_reserves_nothing() -> None:
     config = configuration(
         queue_policy('gangs', 1, has_advisor=True), queue_policy('small', 2)
