Quarantine no worker for long-running tasks that fail now and then

Cause: failures of three jobs in a row quarantine a worker, twice as long each time, and only a task that is done ended the row; a long-running one never is.

Two of the new tests failed before.

--- a/libs/workflows/src/cassiahold/workflows/health.py
+++ b/libs/workflows/src/cassiahold/workflows/health.py
@@ -28,6 +28,10 @@
 RETRY_AVOIDANCE_S: typing.Final = 2.0  # other workers are preferred this long
 RETRY_PAUSE_S: typing.Final = 1.0  # no retry on the same worker this long
 QUARANTINE_FAILED_JOBS: typing.Final = 3  # distinct jobs that fail in a row
+# Failures are in a row if each follows so soon, time in quarantine aside.
+FAILURE_WINDOW_S: typing.Final = 10.0
+# A long-running task that fails after this time does not blame its worker.
+LONG_RUN_S: typing.Final = 5.0
 INITIAL_QUARANTINE_S: typing.Final = 2.0
 MAX_QUARANTINE_S: typing.Final = 16.0
 INITIAL_START_PAUSE_S: typing.Final = 1.0  # after a start without a reply
@@ -271,20 +275,30 @@
         attempt: AttemptKey,
         outcome: AttemptOutcome,
         now: float,
+        *,
+        is_long_running: bool = False,
     ) -> None:
         """Record the outcome of an attempt that ended on a worker.
 
         The third distinct job that fails in a row starts a quarantine, which
-        doubles each time; a success resets the count and the length.
+        doubles each time; a success resets the count and the length.  So does
+        a long-running task that fails after a while, as it may at any time.
         """
+        has_run_long = self.observed_run_s(attempt, now) >= LONG_RUN_S
         self._progress_by_attempt.pop(attempt, None)
         health = self._health_of(worker)
-        if outcome is AttemptOutcome.DONE:
+        if outcome is AttemptOutcome.DONE or (
+            outcome is AttemptOutcome.FAILED
+            and is_long_running
+            and has_run_long
+        ):
             health.failed_jobs.clear()
             health.next_quarantine_s = INITIAL_QUARANTINE_S
         elif outcome is AttemptOutcome.FAILED:
-            self._record_failure(_Placement(attempt.task.step.job, worker), now)
-            health.failed_jobs.add(attempt.task.step.job)
+            job = attempt.task.step.job
+            self._record_failure(_Placement(job, worker), now)
+            _forget_earlier_failures(health, now)
+            health.failed_jobs.add(job)
             health.failed_at = now
             if len(health.failed_jobs) >= QUARANTINE_FAILED_JOBS:
                 self._quarantine(health, now)
@@ -337,3 +351,11 @@
         # After the quarantine one more failed job starts the next one.
         while len(health.failed_jobs) >= QUARANTINE_FAILED_JOBS:
             health.failed_jobs.pop()
+
+
+def _forget_earlier_failures(health: _Health, now: float) -> None:
+    """Forget the failures that another one at this time does not follow."""
+    newest_at = max(health.failed_at, health.quarantined_until)
+    if now >= newest_at + FAILURE_WINDOW_S:
+        health.failed_jobs.clear()
+        health.next_quarantine_s = INITIAL_QUARANTINE_S
--- a/libs/workflows/tests/test_health.py
+++ b/libs/workflows/tests/test_health.py
@@ -30,6 +30,61 @@
     assert tracker.is_quarantined(WORKER, 9.1)
 
 
+def run_long_running_task(
+    tracker: HealthTracker, job: str, started_at: float, duration_s: float
+) -> None:
+    """Let a long-running task fail after a time."""
+    attempt = attempt_key(job, 0, 0)
+    tracker.record_start(WORKER, attempt, started_at)
+    tracker.record_outcome(
+        WORKER,
+        attempt,
+        AttemptOutcome.FAILED,
+        started_at + duration_s,
+        is_long_running=True,
+    )
+
+
+def test_long_running_tasks_that_fail_now_and_then_blame_no_worker() -> None:
+    # Their only worker was quarantined for 16 s after nearly each failure.
+    tracker = HealthTracker()
+    for number in range(12):
+        run_long_running_task(tracker, f'j{number % 4}', number * 2.0, 6.0)
+        assert not tracker.is_quarantined(WORKER, number * 2.0 + 6.1)
+    assert not tracker.is_unreliable(WORKER)
+
+
+def test_long_running_tasks_that_fail_at_once_quarantine_their_worker() -> None:
+    tracker = HealthTracker()
+    for job in ('a', 'b', 'c'):
+        run_long_running_task(tracker, job, 1.0, 0.5)
+    assert tracker.is_quarantined(WORKER, 1.6)
+
+
+def test_failures_far_apart_are_not_in_a_row() -> None:
+    tracker = HealthTracker()
+    for number in range(9):
+        record_failed_attempt(tracker, f'j{number}', number * 60.0)
+        assert not tracker.is_quarantined(WORKER, number * 60.0 + 0.1)
+
+
+def test_worker_that_fails_all_is_held_back_ever_longer() -> None:
+    # Time in quarantine does not separate failures.
+    tracker = HealthTracker()
+    now = 0.0
+    for job in ('a', 'b'):
+        record_failed_attempt(tracker, job, now)
+    held_back_s = []
+    for number in range(5):
+        record_failed_attempt(tracker, f'j{number}', now)
+        quarantined_at = now
+        while tracker.is_quarantined(WORKER, now):
+            now += 0.5
+        held_back_s.append(now - quarantined_at)
+        now += 1.0
+    assert held_back_s == [2.0, 4.0, 8.0, 16.0, 16.0]
+
+
 def test_repeated_failures_of_one_job_quarantine_no_worker() -> None:
     tracker = HealthTracker()
     for attempt in range(9):
--- a/programs/cell/src/cassiahold/cell/attempt_ends.py
+++ b/programs/cell/src/cassiahold/cell/attempt_ends.py
@@ -162,8 +162,13 @@
         """Record the end of an attempt after it has been stored."""
         self._stopper.record_stopped(result.attempt)
         self._forget(result.attempt)
+        spec = self._state.step_spec(result.attempt.task.step)
         self._health.record_outcome(
-            result.worker, result.attempt, result.outcome, boottime_s()
+            result.worker,
+            result.attempt,
+            result.outcome,
+            boottime_s(),
+            is_long_running=spec.is_long_running,
         )
         if result.outcome is AttemptOutcome.FAILED:
             self._timelines.record_failure(result.attempt.task.step.job)
