Leave the wait for a gang out of the pace of a task

A member that had waited six seconds for the others at 0 percent would have been taken for a task of six seconds a percent, and been moved from a worker that hangs 24 s later in place of 2 s. Found on reading the diff; the new test failed before.

--- a/libs/workflows/src/cassiahold/workflows/progress.py
+++ b/libs/workflows/src/cassiahold/workflows/progress.py
@@ -42,9 +42,11 @@
         """Record a reported percentage; tell whether it has changed."""
         if percent == self.percent:
             return False
-        elapsed_s = now - self.progressed_at
-        change = max(percent - self.percent, 1)
-        self.s_per_percent = max(self.s_per_percent, elapsed_s / change)
+        if self.percent:
+            # Until the first percent it may have waited for its gang.
+            elapsed_s = now - self.progressed_at
+            change = max(percent - self.percent, 1)
+            self.s_per_percent = max(self.s_per_percent, elapsed_s / change)
         self.percent = percent
         self.progressed_at = now
         return True
--- a/libs/workflows/tests/test_progress.py
+++ b/libs/workflows/tests/test_progress.py
@@ -100,6 +100,16 @@
     assert tracker.is_stalled(attempt, 5.0, 2.0)
 
 
+def test_wait_for_a_gang_is_not_taken_for_the_pace_of_a_task() -> None:
+    tracker = HealthTracker()
+    attempt = attempt_key('j', 0, 0)
+    tracker.record_start(BAD, attempt, 0.0)
+    for elapsed_s, percent in ((6.0, 0), (6.5, 10), (7.0, 20)):
+        tracker.record_progress(BAD, attempt, percent, elapsed_s)
+    assert not tracker.is_stalled(attempt, 5.0, 8.9)
+    assert tracker.is_stalled(attempt, 5.0, 9.0)
+
+
 def test_long_tasks_on_a_worker_that_hangs_all_are_stalled_as_soon() -> None:
     tracker = HealthTracker()
     short = [attempt_key(job, 0, 0) for job in ('a', 'b')]
