--- a/libs/workflows/tests/test_identities.py
+++ b/libs/workflows/tests/test_identities.py
@@ -24,7 +24,11 @@
     TeamPolicy,
 )
 from cassiahold.workflows.identities import find_successions
-from cassiahold.workflows.model import AttemptOutcome, JobState
+from cassiahold.workflows.model import (
+    AttemptOutcome,
+    JobState,
+    WorkflowSpec,
+)
 from cassiahold.workflows.state import WorkflowState
 from cassiahold.workflows.urgency import Backlog
 
@@ -144,7 +148,7 @@
         JobId('j'),
         QueueName('plans'),
         TeamName('desk'),
-        cell_spec(),
+        WorkflowSpec('payload', (step_spec(),)),
         0.0,
         PLACE,
         'key',
@@ -153,12 +157,6 @@
     assert cell.job('j').queue == 'renamed'
 
 
-def cell_spec():
-    cell = StateFixture('w')
-    cell.submit('j', step_spec())
-    return cell.job('j').spec
-
-
 def test_limit_of_a_team_holds_for_its_earlier_name() -> None:
     # Its attempts in progress counted for the name that it no longer has.
     cell = StateFixture('w')
